--- /dev/null
+++ b/sageweir/config.py
@@ -0,0 +1,194 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from dahliabridge import interface as api
+from dahliabridge.adapter import WireError, read_settings
+from sageweir.limits import Limits
+
+STATES = {"SERVING": api.ServerState.IN_SERVICE, "DRAINING": api.ServerState.DRAINING,
+          "DELETED": api.ServerState.GONE}
+FRONT_FILE = Path("deploy/websocket.json")
+
+
+class ConfigError(ValueError):
+    """The configuration can't be used; the message names the key at fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where to connect or listen; path is set where WebSocket is spoken there."""
+
+    host: str
+    port: int
+    path: str = ""
+
+    def __str__(self) -> str:
+        return f"ws://{self.host}:{self.port}{self.path}" if self.path else f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One clearing server in the control feed's words: what the decisions need, and its address."""
+
+    entry: api.Server
+    address: Address | None
+
+
+@dataclass(frozen=True, slots=True)
+class ListEvent:
+    """One numbered event of the control feed."""
+
+    number: int
+    complete: bool
+    listed: tuple[Listed, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What one session controller is told at its start."""
+
+    name: str
+    listen: Address
+    feed: Address | None
+    seed: int
+    settings: api.Settings
+    report_fields: tuple[str, ...]
+    known: tuple[ListEvent, ...]
+    known_number: int
+    limits: Limits
+    websocket: Address | None = None
+
+
+def _get(obj: Mapping[str, Any], key: str, kind: type, where: str, default: Any = ...) -> Any:
+    value = obj.get(key, default)
+    if value is ...:
+        raise ConfigError(f"{where}{key}: missing")
+    kinds = (int, float) if kind is float else kind
+    if isinstance(value, bool) != (kind is bool) or not isinstance(value, kinds):
+        raise ConfigError(f"{where}{key}: must be {kind.__name__}, got {value!r}")
+    return value
+
+
+def read_address(text: str, key: str) -> Address:
+    """'host:port', or 'ws://host:port/path' where WebSocket is spoken."""
+    rest, path = text, ""
+    if text.startswith("ws://"):
+        rest, _, tail = text[5:].partition("/")
+        path = "/" + tail
+    host, colon, port = rest.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{key}: must be host:port, got {text!r}")
+    return Address(host.strip("[]"), int(port), path)
+
+
+def read_event(raw: Any, where: str = "event") -> ListEvent:
+    """One event of the control feed; in a change, a server that is gone needs no address."""
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{where}: must be an object, got {raw!r}")
+    members = _get(raw, "members", dict, f"{where}.")
+    listed = []
+    for i, row in enumerate(_get(members, "instances", list, f"{where}.members.")):
+        at = f"{where}.members.instances[{i}]."
+        if not isinstance(row, dict):
+            raise ConfigError(f"{at[:-1]}: must be an object, got {row!r}")
+        word = _get(row, "lifecycle", str, at, "SERVING")
+        if word not in STATES:
+            raise ConfigError(f"{at}lifecycle: unknown state {word!r}")
+        state = STATES[word]
+        gone = state is api.ServerState.GONE
+        text = _get(row, "hostPort", str, at, "" if gone else ...)
+        listed.append(Listed(
+            api.Server(_get(row, "instanceId", str, at), _get(row, "cell", int, at, -1), state,
+                       float(_get(row, "startedAtMs", float, at, 0)),
+                       float(_get(row, "weight", float, at, 1))),
+            read_address(text, f"{at}hostPort") if text else None))
+    complete = _get(members, "reset", bool, f"{where}.members.", False)
+    return ListEvent(_get(raw, "n", int, f"{where}."), complete, tuple(listed))
+
+
+def decode_event(data: bytes | str) -> ListEvent:
+    """One event as it comes in the control feed."""
+    try:
+        raw = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"event: not JSON: {error}") from None
+    return read_event(raw)
+
+
+def _load(path: Path, what: str) -> dict[str, Any]:
+    try:
+        raw = orjson.loads(path.read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{what}: cannot read {path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"{what}: {path} is not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{what}: {path} must hold an object")
+    return raw
+
+
+def read_front(path: Path) -> Address | None:
+    """Where the WebSocket front listens; None where it is off or the file is missing."""
+    if not path.exists():
+        return None
+    text = _get(_load(path, "deploy"), "websocket_listen", str, f"{path.name}: ", "")
+    if not text:
+        return None
+    address = read_address(text, f"{path.name}: websocket_listen")
+    if not address.path:
+        raise ConfigError(f"{path.name}: websocket_listen: must be ws://host:port/path, got {text!r}")
+    return address
+
+
+def load(environ: Mapping[str, str] = os.environ, front_file: Path = FRONT_FILE) -> Config:
+    """Read the configuration from NODE_CONFIG; NODE_NAME and NODE_LISTEN go before what it says."""
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG: missing")
+    return read(_load(Path(path), "NODE_CONFIG"), environ, read_front(front_file))
+
+
+def read(raw: Mapping[str, Any], environ: Mapping[str, str] | None = None,
+         websocket: Address | None = None) -> Config:
+    """Check a configuration object."""
+    environ = environ or {}
+    name = environ.get("NODE_NAME") or _get(raw, "name", str, "")
+    listen = environ.get("NODE_LISTEN") or _get(raw, "listen", str, "")
+    seed = _get(raw, "seed", str, "", "0")
+    try:
+        number = int(seed, 16)
+    except ValueError:
+        raise ConfigError(f"seed: must be hex digits, got {seed!r}") from None
+    raw_settings = _get(raw, "settings", dict, "")
+    try:
+        settings, fields = read_settings(raw_settings)
+    except (WireError, ValueError) as error:
+        raise ConfigError(f"settings: {error}") from None
+    caps = _get(raw_settings, "caps", dict, "settings.", {})
+    sockets = _get(_get(raw, "limits", dict, "", {}), "sockets", int, "limits.", 1024)
+    if sockets < 64:
+        raise ConfigError(f"limits.sockets: must be at least 64, got {sockets}")
+    base = Limits()
+    limits = Limits(
+        max_attempts=settings.max_attempts,
+        caller_connections=sockets // 2,
+        dial_ms=float(_get(caps, "dial_timeout_ms", float, "settings.caps.", base.dial_ms)),
+        guard_ms=settings.release_guard_ms,
+        open_calls=_get(caps, "open_cap", int, "settings.caps.", base.open_calls),
+        stop_standing_ms=max(c.deadline_ms for c in settings.classes),
+    )
+    known = _get(raw, "known", dict, "", {"n": 0, "events": []})
+    events = tuple(read_event(event, f"known.events[{i}]")
+                   for i, event in enumerate(_get(known, "events", list, "known.")))
+    feed = _get(raw, "feed", str, "", "")
+    return Config(name, read_address(listen, "listen"), read_address(feed, "feed") if feed else None, number,
+                  settings, fields, events, _get(known, "n", int, "known.", 0), limits, websocket)
--- /dev/null
+++ b/sageweir/exchange.py
@@ -0,0 +1,352 @@
+"""The core: where callers' requests and clearing servers' outcomes meet, and nowhere else.
+
+It knows requests, attempts and outcomes, and no wire. It feeds events to the decision module and carries
+out its actions. Whatever the module or a peer does, a request gets one final answer and has at most one
+attempt out.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from dahliabridge import interface as api
+from dahliabridge.brain import Controller
+from sageweir.clock import Clock, Timer
+from sageweir.limits import Limits
+from sageweir.messages import Cause
+
+log = logging.getLogger("sageweir.exchange")
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's set-up, with all that clearing servers are passed."""
+
+    call: str
+    service_class: str
+    left_ms: float
+    key: str = ""
+    first_choice: int = -1
+    was_cut: bool = False
+    description: str | None = None
+
+
+class State(Enum):
+    """Where an attempt stands."""
+
+    OUT = "out"
+    STANDS = "stands"
+    OVER = "over"
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One set-up of a call at one clearing server."""
+
+    request: Request
+    number: int
+    server: str
+    sent_at: float
+    timeout_ms: float
+    state: State = State.OUT
+    timer: Timer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How an attempt ended, with what the clearing server told along with it."""
+
+    outcome: api.Outcome
+    cause: int = Cause.RESET
+    report: Mapping[str, float] = field(default_factory=dict)
+
+
+class Caller(Protocol):
+    """Where a request came from. Each call says whether the words could be handed on."""
+
+    def answer(self, call: str, description: str | None) -> bool: ...
+
+    def refuse(self, call: str, wait_ms: float) -> bool: ...
+
+    def fail(self, call: str) -> bool: ...
+
+    def release(self, call: str, cause: int) -> bool: ...
+
+
+class Servers(Protocol):
+    """The way to the clearing servers."""
+
+    def send(self, attempt: Attempt) -> None:
+        """Send the set-up, or end the attempt as one that could not connect."""
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Tell the server that nobody waits for this set-up any more."""
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        """End a call that stands, or that was answered too late."""
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """A request that is owed an answer, or that stands."""
+
+    request: Request
+    caller: Caller
+    attempts: int = 0
+    live: Attempt | None = None
+    not_before: float = 0.0  # the release guard: no send until then
+    watchdog: Timer | None = None
+
+    @property
+    def stands(self) -> bool:
+        return self.live is not None and self.live.state is State.STANDS
+
+
+class Exchange:
+    """Calls, their attempts, and the decision module over them."""
+
+    def __init__(self, clock: Clock, limits: Limits, settings: api.Settings, seed: int) -> None:
+        self.clock, self.limits = clock, limits
+        self.controller = Controller(settings, seed)
+        self.servers: Servers | None = None
+        self.calls: dict[str, Call] = {}
+        self.unanswered = 0
+        self._out: dict[tuple[str, int], Attempt] = {}  # attempts in state OUT
+        self._past: OrderedDict[str, None] = OrderedDict()  # ids of calls that are over
+        self._inbox: deque[api.Event] = deque()
+        self._scheduled = False
+
+    # Towards the decision module
+
+    def _post(self, event: api.Event) -> None:
+        # Guards against sends that overtake news of the list: events wait until all that the loop has read
+        # in this turn is taken, and the feed's changes go in at once (list_changed).
+        self._inbox.append(event)
+        if not self._scheduled:
+            self._scheduled = True
+            self.clock.soon(self._work)
+
+    def _work(self) -> None:
+        self._scheduled = False
+        while self._inbox:
+            self._handle(self._inbox.popleft())
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self.controller.handle(event, self.clock.now())
+        except Exception:  # a fault inside one call ends that call only
+            log.exception("the decision module failed on %r", event)
+            call = getattr(event, "call", None)
+            if isinstance(call, str):
+                self._give_up_on(call)
+            elif isinstance(event, api.TimerFired):
+                self._set_timer(event.timer, 100.0)
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send(name, server, timeout_ms):
+                self._send(name, server, timeout_ms)
+            case api.Refuse(name, wait_ms):
+                self._finish(name, lambda call: call.caller.refuse(name, wait_ms))
+            case api.Fail(name):
+                self._finish(name, lambda call: call.caller.fail(name))
+            case api.Cancel(name, number):
+                self._cancel(name, number)
+            case api.SetTimer(timer, after_ms):
+                self._set_timer(timer, after_ms)
+            case api.Note(text):
+                log.info("%s", text)
+            case api.TellPeer():
+                log.debug("no peers here")
+
+    def _set_timer(self, timer: int, after_ms: float) -> None:
+        self.clock.after(after_ms, lambda: self._post(api.TimerFired(timer)))
+
+    def _send(self, name: str, server: str, timeout_ms: float) -> None:
+        call, now = self.calls.get(name), self.clock.now()
+        number = call.attempts if call else 0
+        if call is None or self.servers is None:  # the caller gave up in this very turn
+            self._post(api.AttemptEnded(name, number, server, api.Outcome.NOT_SENT, 0.0, True))
+            return
+        call.attempts += 1
+        if call.live is not None or now < call.not_before or number >= self.limits.max_attempts:
+            # Guards against a second attempt while one is out, one within the release time, and one too many.
+            log.error("call %s: attempt %d to %s is not allowed now", name, number, server)
+            self._post(api.AttemptEnded(name, number, server, api.Outcome.NOT_SENT, 0.0, False))
+            return
+        attempt = Attempt(call.request, number, server, now, timeout_ms)
+        call.live = self._out[name, number] = attempt
+        attempt.timer = self.clock.after(timeout_ms, lambda: self._timed_out(attempt))
+        self.servers.send(attempt)
+
+    def _cancel(self, name: str, number: int) -> None:
+        attempt = self._out.get((name, number))
+        if attempt is not None and self.servers is not None:
+            self._close(attempt, Ending(api.Outcome.CANCELLED))
+            self.servers.give_up(attempt)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if attempt.state is State.OUT and self.servers is not None:
+            self._close(attempt, Ending(api.Outcome.TIMED_OUT))
+            self.servers.give_up(attempt)
+
+    def _close(self, attempt: Attempt, ending: Ending) -> None:
+        """An attempt is over; the module is told once."""
+        if attempt.state is State.OVER:
+            return
+        attempt.state = State.OVER
+        name, now = attempt.request.call, self.clock.now()
+        self._out.pop((name, attempt.number), None)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        call = self.calls.get(name)
+        if call is not None and call.live is attempt:
+            call.live = None
+            if ending.outcome in (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED):
+                call.not_before = now + self.limits.guard_ms
+        rate = ending.report.get("max_rate", -1.0)
+        self._post(api.AttemptEnded(
+            name, attempt.number, attempt.server, ending.outcome, now - attempt.sent_at, call is None,
+            max_rate=rate if rate >= 0 else None))
+
+    def _finish(self, name: str, tell: Callable[[Call], bool]) -> None:
+        """Give the final answer, once."""
+        call = self.calls.get(name)
+        if call is None or call.stands:
+            return
+        self._drop(name)
+        try:
+            tell(call)
+        finally:
+            if call.live is not None:
+                self._cancel(name, call.live.number)
+
+    def _drop(self, name: str) -> None:
+        call = self.calls.pop(name, None)
+        if call is None:
+            return
+        if not call.stands:
+            self.unanswered -= 1
+        if call.watchdog is not None:
+            call.watchdog.cancel()
+        self._past[name] = None
+        if len(self._past) > self.limits.kept_ids:
+            self._past.popitem(last=False)
+
+    def _give_up_on(self, name: str) -> None:
+        """Fail a call on the exchange's own account; the module is told that nobody waits."""
+        call = self.calls.get(name)
+        if call is not None and not call.stands:
+            self._finish(name, lambda c: c.caller.fail(name))
+            self._post(api.CallerGone(name))
+
+    def _unanswered(self, name: str) -> None:
+        # Guards against a request without a final answer, should the module ever forget one.
+        call = self.calls.get(name)
+        if call is not None and not call.stands:
+            log.error("call %s: no answer from the decision module, failed at its deadline", name)
+            self._give_up_on(name)
+
+    # From callers
+
+    def take(self, request: Request, caller: Caller) -> bool:
+        """Take a set-up; False for an id that is in use, whose first set-up is answered and no other."""
+        name = request.call
+        if name in self.calls:
+            log.warning("call %s: a second set-up with this id is not taken", name)
+            return False
+        if len(self.calls) >= self.limits.open_calls:
+            log.warning("call %s: refused, %d calls are open", name, len(self.calls))
+            caller.refuse(name, 0.0)
+            return True
+        call = Call(request, caller)
+        self.calls[name] = call
+        self.unanswered += 1
+        call.watchdog = self.clock.after(request.left_ms - self.limits.answer_margin_ms,
+                                         lambda: self._unanswered(name))
+        self._post(api.SetupRequest(name, request.service_class, request.left_ms, request.first_choice,
+                                    request.key, was_cut=request.was_cut))
+        return True
+
+    def give_up(self, name: str, cause: int = Cause.NORMAL) -> bool:
+        """The caller ends a call, before or after its answer; False where no such call is open."""
+        call = self.calls.get(name)
+        if call is None:
+            if name not in self._past:
+                log.warning("call %s: a caller ends a call that is not known", name)
+            return False
+        attempt = call.live
+        if attempt is not None and attempt.state is State.STANDS:
+            self._drop(name)
+            self._close(attempt, Ending(api.Outcome.CANCELLED))
+            if self.servers is not None:
+                self.servers.release(attempt, cause)
+        else:
+            self._drop(name)
+            self._post(api.CallerGone(name))
+        return True
+
+    # From clearing servers
+
+    def list_changed(self, entries: Iterable[api.Server], complete: bool) -> None:
+        """News of the list; it goes before all that waits."""
+        self._handle(api.ListChange(tuple(entries), complete))
+
+    def reported(self, server: str, report: Mapping[str, float]) -> None:
+        """A clearing server's report came by itself."""
+        rate = report.get("max_rate", -1.0)
+        self._post(api.ServerReport(server, rate if rate >= 0 else None))
+
+    def answered(self, attempt: Attempt, description: str | None) -> None:
+        """A clearing server answered a set-up: the call stands."""
+        name = attempt.request.call
+        call = self.calls.get(name)
+        if attempt.state is State.STANDS:
+            log.warning("call %s: a second answer from %s is dropped", name, attempt.server)
+        elif attempt.state is State.OVER or call is None or call.live is not attempt:
+            # Guards against an answer to an attempt that was given up: it is released, never delivered.
+            log.info("call %s: late answer from %s is released", name, attempt.server)
+            self._close(attempt, Ending(api.Outcome.CANCELLED))
+            if self.servers is not None:
+                self.servers.release(attempt, Cause.NORMAL)
+        else:
+            attempt.state = State.STANDS
+            self._out.pop((name, attempt.number), None)
+            self.unanswered -= 1
+            for timer in (attempt.timer, call.watchdog):
+                if timer is not None:
+                    timer.cancel()
+            self._post(api.Answered(name, attempt.number, attempt.server, self.clock.now() - attempt.sent_at))
+            if not call.caller.answer(name, description):
+                log.info("call %s: the answer found no caller, released", name)
+                self.give_up(name)
+
+    def ended(self, attempt: Attempt, ending: Ending) -> None:
+        """An attempt ended at the clearing server's side, before its answer or after."""
+        if attempt.state is State.OVER:
+            return
+        name, stood = attempt.request.call, attempt.state is State.STANDS
+        call = self.calls.get(name)
+        if stood:
+            self._drop(name)
+        self._close(attempt, ending)
+        if stood and call is not None:
+            self._tell_release(call, ending.cause, self.clock.now() + self.limits.release_for_ms)
+
+    def _tell_release(self, call: Call, cause: int, until: float) -> None:
+        # Guards against a caller's connection that is down when its call ends: told on another, for a while.
+        name = call.request.call
+        if call.caller.release(name, cause):
+            return
+        if self.clock.now() >= until:
+            log.warning("call %s: its release found no connection", name)
+        else:
+            self.clock.after(self.limits.release_retry_ms, lambda: self._tell_release(call, cause, until))
--- /dev/null
+++ b/sageweir/limits.py
@@ -0,0 +1,39 @@
+"""All sizes, counts and times that bound the program, in one type that is filled at start."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds; times are milliseconds."""
+
+    # Messages and buffers
+    message_bytes: int = 16 * 1024  # one message, either side
+    read_bytes: int = 64 * 1024  # one read of a connection
+    write_bytes: int = 256 * 1024  # unsent bytes after which a connection counts as dead
+    feed_event_bytes: int = 4 * 1024 * 1024  # one event of the control feed
+    head_bytes: int = 16 * 1024  # an HTTP head
+    # Counts
+    max_attempts: int = 6  # set-ups of one call
+    caller_connections: int = 400  # from callers, over all fronts; they hold at most a third of the sockets
+    server_connections: int = 8  # to one clearing server
+    open_calls: int = 20_000  # requests waited for at once
+    kept_attempts: int = 2048  # attempts that are over and still remembered, on one connection
+    kept_ids: int = 8192  # calls that are over and still remembered, to tell what comes late from the unknown
+    # Times
+    dial_ms: float = 500.0  # a connection that is not up by then has failed
+    handshake_ms: float = 2000.0  # an HTTP head that has not come whole by then ends its connection
+    redial_ms: float = 400.0  # between dials that only wait for news of standing calls
+    guard_ms: float = 300.0  # no send of a call so long after an attempt in doubt
+    answer_margin_ms: float = 8.0  # the exchange itself fails a call that is unanswered so near its end
+    silence_ms: float = 1500.0  # a clearing server that says nothing so long after a set-up is suspect
+    feed_silence_ms: float = 2500.0  # the feed comments each second; this much silence is a dead connection
+    feed_retry_ms: float = 100.0  # between dials of the feed, after the first at once
+    release_retry_ms: float = 100.0  # between tries to tell a caller that its call is over
+    release_for_ms: float = 8000.0  # how long these go on
+    gone_silence_ms: float = 2000.0  # calls at a server that is gone from the list and silent so long are cut
+    stop_open_ms: float = 800.0  # connections and requests are still taken so long after SIGTERM
+    stop_standing_ms: float = 9000.0  # and calls that stand are waited for so long
+    linger_ms: float = 1000.0  # the peer's close is awaited so long after ours (WebSocket)
--- /dev/null
+++ b/sageweir/net/connection.py
@@ -0,0 +1,130 @@
+"""What connections on both sides share: a fixed read buffer, a wire, and bounded writes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from typing import cast
+
+from sageweir.clock import Clock
+from sageweir.limits import Limits
+from sageweir.messages import Fault, Message
+from sageweir.net.wire import Wire
+
+log = logging.getLogger("sageweir.net")
+
+
+class Connection(asyncio.BufferedProtocol):
+    """One TCP connection that speaks a wire."""
+
+    def __init__(self, clock: Clock, limits: Limits, wire: Wire) -> None:
+        self.clock, self.limits, self.wire = clock, limits, wire
+        self.transport: asyncio.Transport | None = None
+        self.peer = ""
+        self.heard_at = clock.now()
+        self._buffer = bytearray(min(limits.read_bytes, 16 * 1024))
+        self._view = memoryview(self._buffer)
+
+    # For the two sides to fill in
+
+    def received(self, message: Message) -> None:
+        """One message came."""
+        raise NotImplementedError
+
+    def faulty(self, fault: Fault) -> None:
+        """Something came that is no message."""
+        log.warning("%s: refused: %s", self.peer, fault.reason)
+
+    def opened(self) -> None:
+        """Messages may be sent from now on."""
+
+    def lost(self, reset: bool) -> None:
+        """The connection is gone; reset where it broke, not where the peer closed it."""
+
+    # asyncio's side
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        address = transport.get_extra_info("peername")
+        self.peer = f"{address[0]}:{address[1]}" if address else "?"
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.heard_at = self.clock.now()
+        self._write(self.wire.greeting())
+        if self.wire.ready():
+            self.opened()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._view
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.heard_at = self.clock.now()
+        was_ready = self.wire.ready()
+        data = bytes(self._view[:nbytes])
+        for item in self.wire.feed(data):
+            if not was_ready:
+                was_ready = True
+                self._write(self.wire.replies())
+                self.opened()
+            try:
+                if isinstance(item, Fault):
+                    self.faulty(item)
+                else:
+                    self.received(item)
+            except Exception:  # a fault over one message ends nothing else
+                log.exception("%s: failed on %r", self.peer, item)
+                if isinstance(item, Message):
+                    self.faulty(Fault("internal fault", item.call))
+        self._write(self.wire.replies())
+        if not was_ready and self.wire.ready():
+            self.opened()
+        if self.wire.closed():
+            self.end()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.lost(exc is not None)
+
+    # Writing
+
+    @property
+    def up(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing() and self.wire.ready()
+
+    def unsent(self) -> int:
+        """Bytes that wait here for the peer to read."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def say(self, message: Message) -> bool:
+        """Send a message; False where the connection is no more."""
+        if not self.up:
+            return False
+        return self._write(self.wire.encode(message))
+
+    def _write(self, data: bytes) -> bool:
+        if self.transport is None or self.transport.is_closing():
+            return False
+        if data:
+            self.transport.write(data)
+            if self.unsent() > self.limits.write_bytes:
+                # Guards against a peer that reads nothing: its bytes would pile up here.
+                log.warning("%s: %d bytes unread, connection dropped", self.peer, self.unsent())
+                self.drop()
+                return False
+        return True
+
+    def end(self, reason: str = "") -> None:
+        """Close once all is written."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._write(self.wire.goodbye(reason))
+            self.transport.close()
+
+    def drop(self) -> None:
+        """Close at once; what is unsent stays unsent."""
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/sageweir/net/feed.py
@@ -0,0 +1,141 @@
+"""The control feed: numbered changes of the list over server-sent events, with no gap and no long silence."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import cast
+
+from sageweir.clock import Clock, Timer
+from sageweir.config import Address, ConfigError, ListEvent, decode_event
+from sageweir.limits import Limits
+from sageweir.net.http import Chunks, EventStream, Head, HeadReader, HttpError
+
+log = logging.getLogger("sageweir.feed")
+
+
+class FeedConnection(asyncio.BufferedProtocol):
+    """One connection to the feed."""
+
+    def __init__(self, feed: FeedClient) -> None:
+        self.feed = feed
+        self.transport: asyncio.Transport | None = None
+        self.heard_at = feed.clock.now()
+        self._view = memoryview(bytearray(feed.limits.read_bytes))
+        self._head_reader = HeadReader(feed.limits.head_bytes)
+        self._head: Head | None = None
+        self._chunks: Chunks | None = None
+        self._events = EventStream(feed.limits.feed_event_bytes)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        feed = self.feed
+        self.transport.write(
+            f"GET /v1/events HTTP/1.1\r\nHost: {feed.address}\r\nAccept: text/event-stream\r\n"
+            f"Last-Event-ID: {feed.number}\r\nCache-Control: no-cache\r\n\r\n".encode())
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._view
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.heard_at = self.feed.clock.now()
+        try:
+            self._read(bytes(self._view[:nbytes]))
+        except (HttpError, ConfigError) as error:
+            log.warning("feed: %s; connecting anew", error)
+            if self.transport is not None:
+                self.transport.abort()
+
+    def _read(self, data: bytes) -> None:
+        if self._head is None:
+            self._head = self._head_reader.feed(data)
+            if self._head is None:
+                return
+            if self._head.first[1] != "200":
+                raise HttpError(f"answered {' '.join(self._head.first[1:])}")
+            if "chunked" in self._head.tokens("transfer-encoding"):
+                self._chunks = Chunks()
+            data = bytes(self._head_reader.rest)
+        if self._chunks is not None:
+            data = self._chunks.feed(data)
+        for event in self._events.feed(data):
+            self.feed.take(event.data)
+        if self._chunks is not None and self._chunks.over and self.transport is not None:
+            self.transport.close()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.feed.lost(self)
+
+
+class FeedClient:
+    """Keeps one connection to the feed, and applies each event once and in order."""
+
+    def __init__(self, clock: Clock, limits: Limits, address: Address, number: int,
+                 apply: Callable[[ListEvent], None]) -> None:
+        self.clock, self.limits, self.address, self.number, self.apply = clock, limits, address, number, apply
+        self.connection: FeedConnection | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._watch: Timer | None = None
+        self._dialed_at = 0.0
+        self._stopped = False
+
+    def start(self) -> None:
+        self._dial()
+        self._look()
+
+    def stop(self) -> None:
+        self._stopped = True
+        if self._watch is not None:
+            self._watch.cancel()
+        if self._task is not None:
+            self._task.cancel()
+        if self.connection is not None and self.connection.transport is not None:
+            self.connection.transport.abort()
+
+    def take(self, data: str) -> None:
+        """Apply one event; one that is known already is passed over."""
+        event = decode_event(data)
+        if event.number > self.number:
+            self.apply(event)
+            self.number = event.number
+
+    def _dial(self) -> None:
+        if not self._stopped and self._task is None and self.connection is None:
+            self._dialed_at = self.clock.now()
+            self._task = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        connection = FeedConnection(self)
+        try:
+            await asyncio.wait_for(asyncio.get_running_loop().create_connection(
+                lambda: connection, self.address.host, self.address.port), self.limits.dial_ms / 1000)
+            self.connection = connection
+        except (OSError, TimeoutError) as error:
+            log.warning("feed: %s: %s", self.address, error or "no connection in time")
+            self.clock.after(self.limits.feed_retry_ms, self._dial)
+        finally:
+            self._task = None
+        if self.connection is connection and connection.transport is not None \
+                and connection.transport.is_closing():
+            self.lost(connection)
+
+    def lost(self, connection: FeedConnection) -> None:
+        """Connect anew: at once, and then no oftener than the limit says."""
+        if self.connection is not connection:
+            return
+        self.connection = None
+        since = self.clock.now() - self._dialed_at
+        self.clock.after(max(0.0, self.limits.feed_retry_ms - since), self._dial)
+
+    def _look(self) -> None:
+        # Guards against a feed whose machine vanished: the connection stays open and says nothing.
+        connection = self.connection
+        if connection is not None and connection.transport is not None \
+                and self.clock.now() - connection.heard_at > self.limits.feed_silence_ms:
+            log.warning("feed: silent, connecting anew")
+            connection.transport.abort()
+        self._watch = self.clock.after(self.limits.feed_silence_ms / 5, self._look)
--- /dev/null
+++ b/sageweir/net/servers.py
@@ -0,0 +1,400 @@
+"""The clearing-server side: connections to clearing servers, and what comes of attempts on them.
+
+The same id goes out on each attempt of a call, so a reply is matched by connection and id: a connection
+that carried an attempt of a call, and has not told its end, is not used for another of the same call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+from dahliabridge import interface as api
+from sageweir.clock import Clock, Timer
+from sageweir.config import Address, Listed
+from sageweir.exchange import Attempt, Ending, Exchange, State
+from sageweir.limits import Limits
+from sageweir.messages import Cause, Fault, Kind, Message, parse_pairs
+from sageweir.net.connection import Connection
+from sageweir.net.wire import Wire
+
+log = logging.getLogger("sageweir.servers")
+
+Report = dict[str, float]
+
+
+def read_ending(message: Message, stood: bool, report: Report) -> Ending:
+    """What a release from a clearing server says of the attempt."""
+    cause, note = message.cause, message.fields.get("note", "")
+    if stood:
+        outcome = api.Outcome.RESET if cause == Cause.RESET else api.Outcome.COMPLETED
+    elif cause == Cause.FULL:
+        outcome = api.Outcome.FULL
+    elif cause == Cause.MOOT:
+        outcome = api.Outcome.NOT_SENT
+    elif cause in (Cause.BUSY, Cause.ERROR):
+        outcome = api.Outcome.NUMBER_BUSY if note == "sub" else api.Outcome.ERROR
+    elif cause == Cause.RESET:
+        outcome = api.Outcome.RESET
+    else:
+        outcome = api.Outcome.ERROR
+    return Ending(outcome, cause, report)
+
+
+class ServerConnection(Connection):
+    """One connection to a clearing server, and the attempts that it carries."""
+
+    def __init__(self, link: ServerLink, wire: Wire) -> None:
+        super().__init__(link.side.clock, link.side.limits, wire)
+        self.link = link
+        self.attempts: dict[str, Attempt] = {}  # by call; out, standing, or over without the server's word
+        self.suspect = False  # silent after a set-up: nothing more is sent here
+
+    def received(self, message: Message) -> None:
+        exchange, name = self.link.side.exchange, message.call
+        report = parse_pairs(message.fields.get("load", ""))
+        attempt = self.attempts.get(name)
+        match message.kind:
+            case Kind.ANSWER if attempt is not None:
+                if attempt.state is State.OUT:
+                    self.link.standing[name] = self, attempt
+                exchange.answered(attempt, message.description)
+            case Kind.ANSWER:
+                # Guards against an answer that nobody waits for, such as one to a set-up before a restart.
+                log.warning("%s: answer for call %s, which is not open here, is released", self.peer, name)
+                self.say(Message(Kind.RELEASE, name, cause=Cause.NORMAL))
+            case Kind.RELEASE:
+                self.say(Message(Kind.HEARD, name))
+                self.link.releases.pop(name, None)
+                if attempt is None and name in self.link.standing:
+                    attempt = self.link.standing[name][1]
+                if attempt is None:
+                    log.info("%s: release of call %s, which is not open here", self.peer, name)
+                    return
+                self.link.forget(attempt)
+                exchange.ended(attempt, read_ending(message, attempt.state is State.STANDS, report))
+            case Kind.HEARD:
+                self.link.releases.pop(name, None)
+                if attempt is not None and attempt.state is State.OVER:
+                    self.link.forget(attempt)
+            case Kind.STATUS | Kind.TESTED:
+                if report:
+                    exchange.reported(self.link.name, report)
+            case Kind.PROGRESS:
+                pass
+            case _:
+                self.faulty(Fault(f"clearing servers send no {message.kind.value}", name))
+
+    def opened(self) -> None:
+        self.link.opened(self)
+
+    def lost(self, reset: bool) -> None:
+        self.link.lost(self, reset)
+
+    def place(self, attempt: Attempt) -> bool:
+        """Send a set-up."""
+        if len(self.attempts) >= self.limits.kept_attempts:
+            over = [name for name, kept in self.attempts.items() if kept.state is State.OVER]
+            for name in over[:len(over) // 2 + 1]:
+                del self.attempts[name]
+        request = attempt.request
+        self.attempts[request.call] = attempt
+        fields = {"class": request.service_class, "left": f"{attempt.timeout_ms:.0f}", "key": request.key}
+        return self.say(Message(Kind.SET_UP, request.call, fields, description=request.description))
+
+
+class ServerLink:
+    """All connections to one clearing server."""
+
+    def __init__(self, side: ServerSide, name: str, address: Address) -> None:
+        self.side, self.name, self.address = side, name, address
+        self.state, self.started_ms = api.ServerState.IN_SERVICE, 0.0
+        self.connections: list[ServerConnection] = []
+        self.queue: list[Attempt] = []  # attempts that wait for a connection
+        self.standing: dict[str, tuple[ServerConnection, Attempt]] = {}
+        self.releases: dict[str, int] = {}  # releases of ours that wait for a connection
+        self.dialing: asyncio.Task[None] | None = None
+        self.coming: ServerConnection | None = None  # dialled, and not open yet
+        self.dialed_at = side.clock.now() - side.limits.redial_ms
+        self.dial_timer: Timer | None = None
+        self.redial: Timer | None = None
+        self.ended = False
+
+    # Dialling
+
+    def dial(self) -> None:
+        """Open one more connection, unless one is coming up."""
+        full = len(self.connections) >= self.side.limits.server_connections
+        if self.dialing is not None or self.ended or full:
+            return
+        self.dialed_at = self.side.clock.now()
+        self.dialing = asyncio.get_running_loop().create_task(self._dial())
+        self.dial_timer = self.side.clock.after(self.side.limits.dial_ms, self._dial_late)
+
+    def _dial_late(self) -> None:
+        # Guards against a machine that has vanished: a dial there never ends by itself.
+        self._give_dial_up()
+        self._dial_failed(refused=False, why="no connection in time")
+
+    async def _dial(self) -> None:
+        connection = self.coming = ServerConnection(self, self.side.wire(self.address))
+        try:
+            await asyncio.get_running_loop().create_connection(
+                lambda: connection, self.address.host, self.address.port)
+        except OSError as error:
+            if self.coming is connection:
+                self._dial_failed(isinstance(error, ConnectionRefusedError), str(error))
+
+    def _dial_over(self) -> None:
+        if self.dial_timer is not None:
+            self.dial_timer.cancel()
+        self.dialing = self.dial_timer = self.coming = None
+
+    def _give_dial_up(self) -> None:
+        task, coming = self.dialing, self.coming
+        self._dial_over()
+        if task is not None:
+            task.cancel()
+        if coming is not None:
+            coming.drop()
+
+    def _dial_failed(self, refused: bool, why: str) -> None:
+        self._dial_over()
+        log.info("%s: %s: dial failed: %s", self.name, self.address, why)
+        queue, self.queue = self.queue, []
+        for attempt in queue:  # a dial that failed proves that nothing ran
+            self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+        if refused:
+            self.cut_all("its process is gone")
+        if self.standing or self.releases:
+            self._redial_later()
+
+    def _redial_later(self) -> None:
+        if self.redial is None and not self.ended:
+            self.redial = self.side.clock.after(self.side.limits.redial_ms, self._redial)
+
+    def _redial(self) -> None:
+        self.redial = None
+        if not any(c.up and not c.suspect for c in self.connections):
+            self.dial()
+
+    def opened(self, connection: ServerConnection) -> None:
+        """A connection is up: what waited for it goes out."""
+        if connection is not self.coming:
+            connection.drop()
+            return
+        self._dial_over()
+        self.connections.append(connection)
+        releases, queue, self.queue = dict(self.releases), self.queue, []
+        self.releases.clear()
+        for name, cause in releases.items():
+            connection.say(Message(Kind.RELEASE, name, cause=cause))
+        for attempt in queue:
+            if attempt.state is State.OUT and not connection.place(attempt):
+                self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+        for old in list(self.connections):
+            if old.suspect:
+                self._retire(old)
+
+    def _retire(self, connection: ServerConnection) -> None:
+        """Close a silent connection once another is up and no set-up is out on it."""
+        fresh = any(c.up and not c.suspect for c in self.connections)
+        if fresh and not any(a.state is State.OUT for a in connection.attempts.values()):
+            connection.drop()
+
+    def lost(self, connection: ServerConnection, reset: bool) -> None:
+        if connection is self.coming:  # its handshake never ended
+            self._dial_failed(refused=False, why="closed before it was up")
+        if connection not in self.connections:
+            return
+        self.connections.remove(connection)
+        attempts, connection.attempts = connection.attempts, {}
+        for attempt in attempts.values():
+            if attempt.state is State.OUT:
+                self.side.exchange.ended(attempt, Ending(api.Outcome.RESET))
+        if reset and not connection.suspect:
+            # A process that dies resets its connections and cuts its calls.
+            self.cut_all("it reset its connection")
+        if self.state is api.ServerState.IN_SERVICE or self.standing:
+            # Guards against a server that takes connections and drops them: no dial after dial.
+            if self.side.clock.now() - self.dialed_at >= self.side.limits.redial_ms:
+                self.dial()
+            else:
+                self._redial_later()
+
+    # Attempts
+
+    def place(self, attempt: Attempt) -> None:
+        """Send on the oldest sound connection that has no word outstanding on this call, else dial."""
+        name = attempt.request.call
+        for connection in self.connections:
+            if connection.up and not connection.suspect and name not in connection.attempts \
+                    and not connection.unsent() and connection.place(attempt):
+                return
+        self.queue.append(attempt)
+        self.dial()
+        if self.dialing is None:
+            self.queue.remove(attempt)
+            log.warning("%s: no connection for call %s", self.name, name)
+            self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+
+    def give_up(self, attempt: Attempt) -> None:
+        if attempt in self.queue:  # never sent
+            self.queue.remove(attempt)
+            return
+        limits, now = self.side.limits, self.side.clock.now()
+        for connection in list(self.connections):
+            if connection.attempts.get(attempt.request.call) is attempt:
+                connection.say(Message(Kind.RELEASE, attempt.request.call, cause=Cause.NORMAL))
+                silent = now - max(connection.heard_at, attempt.sent_at)
+                if not connection.suspect and connection.heard_at < attempt.sent_at \
+                        and silent >= limits.silence_ms:
+                    # Guards against a vanished machine: its old connections stay open and silent for good.
+                    log.info("%s: silent for %.0f ms, a new connection is dialled", self.name, silent)
+                    connection.suspect = True
+                    self.dial()
+                if connection.suspect:
+                    self._retire(connection)
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        """Release a call that stands, on its own connection, else any, else the next that comes up."""
+        name = attempt.request.call
+        self.standing.pop(name, None)
+        own = [c for c in self.connections if c.attempts.get(name) is attempt]
+        message = Message(Kind.RELEASE, name, cause=cause)
+        if not any(c.say(message) for c in own + self.connections if not c.suspect):
+            self.releases[name] = cause
+            self.side.clock.after(self.side.limits.release_for_ms, lambda: self._give_over(name))
+            self.dial()
+
+    def _give_over(self, name: str) -> None:
+        self.releases.pop(name, None)
+
+    def forget(self, attempt: Attempt) -> None:
+        name = attempt.request.call
+        for connection in self.connections:
+            if connection.attempts.get(name) is attempt:
+                del connection.attempts[name]
+        if name in self.standing and self.standing[name][1] is attempt:
+            del self.standing[name]
+
+    def cut_all(self, why: str) -> None:
+        """Whatever stood here has been cut, and no release will tell of it."""
+        standing, self.standing = self.standing, {}
+        if standing:
+            log.info("%s: %d calls are cut: %s", self.name, len(standing), why)
+        for _, attempt in standing.values():
+            self.side.exchange.ended(attempt, Ending(api.Outcome.RESET))
+
+    # The list
+
+    def stop_sending(self) -> None:
+        """Drained or gone: nothing that waits here may go out any more."""
+        # Guards against set-ups that leave late: such as wait for a dial, and bytes that wait for a reader.
+        queue, self.queue = self.queue, []
+        for attempt in queue:
+            self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+        for connection in list(self.connections):
+            if connection.unsent():
+                connection.drop()
+
+    def look_if_silent(self) -> None:
+        """Gone from the list: calls are cut once nothing is heard any more."""
+        if self.ended:
+            return
+        heard = max((c.heard_at for c in self.connections if c.up), default=0.0)
+        if self.side.clock.now() - heard >= self.side.limits.gone_silence_ms:
+            self.close("it is gone")
+        else:
+            self.side.clock.after(self.side.limits.gone_silence_ms / 4, self.look_if_silent)
+
+    def close(self, why: str) -> None:
+        self.ended = True
+        self._give_dial_up()
+        if self.redial is not None:
+            self.redial.cancel()
+        for connection in list(self.connections):
+            connection.drop()
+        self.cut_all(why)
+        self.side.ended(self)
+
+
+class ServerSide:
+    """Links to all clearing servers of the list."""
+
+    def __init__(self, clock: Clock, limits: Limits, exchange: Exchange,
+                 wire: Callable[[Address], Wire]) -> None:
+        self.clock, self.limits, self.exchange, self.wire = clock, limits, exchange, wire
+        self.links: dict[str, ServerLink] = {}
+        self.leaving: set[ServerLink] = set()  # gone from the list, with calls that may still stand
+        exchange.servers = self
+
+    def follow(self, listed: Iterable[Listed], complete: bool) -> None:
+        """Apply news of the list, to the links and then to the decisions."""
+        listed = list(listed)
+        named = {item.entry.name for item in listed}
+        for name in [n for n in self.links if complete and n not in named]:
+            self._gone(name)
+        for item in listed:
+            entry, link = item.entry, self.links.get(item.entry.name)
+            if entry.state is api.ServerState.GONE:
+                self._gone(entry.name)
+                continue
+            if item.address is None:
+                continue
+            if link is not None and (link.address != item.address or (
+                    entry.started_ms and link.started_ms != entry.started_ms)):
+                link.close("it has started again")
+                link = None
+            if link is None:
+                link = self.links[entry.name] = ServerLink(self, entry.name, item.address)
+                link.started_ms = entry.started_ms
+            link.state = entry.state
+            if entry.state is api.ServerState.IN_SERVICE:
+                if not link.connections:
+                    link.dial()
+            else:
+                link.stop_sending()
+        self.exchange.list_changed((item.entry for item in listed), complete)
+
+    def _gone(self, name: str) -> None:
+        link = self.links.pop(name, None)
+        if link is not None:
+            link.state = api.ServerState.GONE
+            self.leaving.add(link)
+            link.stop_sending()
+            link.look_if_silent()
+
+    def ended(self, link: ServerLink) -> None:
+        self.leaving.discard(link)
+        if self.links.get(link.name) is link:
+            del self.links[link.name]
+
+    def _link(self, attempt: Attempt) -> ServerLink | None:
+        links = [*self.links.values(), *self.leaving]
+        return next((link for link in links if link.name == attempt.server), None)
+
+    # What the exchange asks
+
+    def send(self, attempt: Attempt) -> None:
+        link = self.links.get(attempt.server)
+        if link is None or link.state is not api.ServerState.IN_SERVICE:
+            log.warning("call %s: %s is not in service", attempt.request.call, attempt.server)
+            self.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+        else:
+            link.place(attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        for link in [*self.links.values(), *self.leaving]:
+            if link.name == attempt.server:
+                link.give_up(attempt)
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        link = self._link(attempt)
+        if link is not None:
+            link.release(attempt, cause)
+
+    def close(self) -> None:
+        for link in [*self.links.values(), *self.leaving]:
+            link.close("this controller stops")
