Pace the module's intervals by the shortest aim; take the least delay off samples

A trace of the module's state showed a rate stuck at 11.9/s with 50 calls/s offered and a smoothed delay of 57 ms: the settings there hold aims of 300 and 380 ms and a repeat time of 100 ms, so the target was 80 ms and a rate rose only under 40 ms, less than an idle server some 20 ms away takes. The interval of 500 ms was longer than the aim itself.

At fault in brain.py: samples that hold the way there (answered), and RUN_MS, LATE_SKIP_MS, SKIP_MAX_MS, UNANSWERED_MS and DEPTH_MS fixed in milliseconds.

Now intervals hold for a shortest aim of 1,200 ms, as at the site, and shrink with it; the least delay seen to a server is taken off its samples; and the target is 0.7 of the repeat time, for what is now not counted in.

--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -10,6 +10,9 @@
 
 from dahliabridge import interface as api
 
+# Intervals hold at a shortest aim of so much, ms, and shrink with it: calls that must stand sooner need
+# a quicker hand, as queues build and clear within the aim; measured.
+PACE_AIM_MS = 1200.0
 # Rate controller
 SMOOTH, PERCENTILE = 0.7, 0.9  # weight of the old percentile, and which one; paper
 FEW, SPAN_MAX = 4.0, 4.0  # events that an average goes over at least; runs that one run may stand for
@@ -23,7 +26,7 @@
 SHARE_DEPTH_MS = 5000.0  # the same of a customer's share, at least a few tokens
 USE_MULTIPLE = 2.0  # a rate rises no further than this above use, or the even part
 # Target of the set-up delay
-TARGET_OF_AIM, TARGET_OF_RESEND = 0.35, 0.8  # parts of the class's aim and of the repeat time
+TARGET_OF_AIM, TARGET_OF_RESEND = 0.35, 0.7  # parts of the class's aim and of the repeat time
 # Routing and guards
 LATE_SKIP_MS, SKIP_MAX_MS, GAP_MAX = 250.0, 4000.0, 16.0  # skip (DESIGN), longest; pause in skips
 BAD_ENDS = 3  # bad ends in a row before only trial calls go
@@ -83,9 +86,10 @@
 class ServerView:
     """What this gateway knows of one server: the list's word and its own samples."""
 
-    def __init__(self, entry: api.Server, classes: int, now: float) -> None:
-        self.entry, self.buckets = entry, [Bucket(now) for _ in range(classes)]
+    def __init__(self, entry: api.Server, classes: int, now: float, depth_ms: float) -> None:
+        self.entry, self.buckets = entry, [Bucket(now, depth_ms=depth_ms) for _ in range(classes)]
         self.samples: list[float] = []
+        self.floor = inf  # least delay seen, ms: the way there and back, and a set-up's own work
         self.current, self.max_rate = 0.0, inf  # smoothed 90th-percentile delay, ms; last report, 1/s
         self.out: dict[tuple[str, int], float] = {}  # unanswered attempts: when sent
         self.closed_until, self.bad = -inf, 0
@@ -136,7 +140,9 @@
         self.waiting: dict[str, CallState] = {}
         self.last_good: str | None = None
         self.turn = self.random.randrange(1 << 16)
-        self.even, self.skip_ms, self.run_at = 0.0, LATE_SKIP_MS, -inf
+        self.pace = min(1.0, min(c.aim_ms for c in settings.classes) / PACE_AIM_MS)
+        self.run_ms, self.least_skip_ms = RUN_MS * self.pace, LATE_SKIP_MS * self.pace
+        self.even, self.skip_ms, self.run_at = 0.0, self.least_skip_ms, -inf
         self.current, self.fresh = 0.0, 0.0  # smoothed delay over all servers, ms; even part of first tries
         self.arrived, self.first, self.named = Flow(), Flow(), dict[int, Flow]()  # calls; firsts; by choice
         self.heard, self.typical = 0, [0.0] * (1 + len(settings.tenants))  # mean demands that peers told
@@ -229,9 +235,12 @@
         view = self.servers.get(event.server)
         sent = view.out.pop((event.call, event.attempt), None) if view else None
         if view and sent is not None and sent >= self.woke_at:
-            view.samples.append(event.took_ms)
+            # Guards against a target near what an idle server takes: rates, once cut, could never rise again.
+            view.floor = min(view.floor, event.took_ms)
+            delay = event.took_ms - min(view.floor, self.target)
+            view.samples.append(delay)
             view.bad, call = 0, self.calls.get(event.call)
-            if event.took_ms > self.targets[call.index if call else 0]:
+            if delay > self.targets[call.index if call else 0]:
                 view.closed_until = max(view.closed_until, now + self.skip_ms)
             else:
                 self.last_good = event.server
@@ -321,7 +330,7 @@
         if not view.listed() or view.closed_until > now:
             return False
         # Guards against a hung or slow server: set-ups pile up there no higher than this.
-        bound = UNANSWERED_MS * self.even / 1000
+        bound = UNANSWERED_MS * self.pace * self.even / 1000
         if not view.out or now - next(iter(view.out.values())) <= self.target:
             bound = max(bound, 2.0)
         if len(view.out) >= (bound if view.bad < BAD_ENDS else 1):
@@ -363,7 +372,7 @@
         for entry in event.servers:
             view = known.get(entry.name)
             if view is None or view.entry.started_ms != entry.started_ms:
-                view = ServerView(entry, len(self.classes), now)
+                view = ServerView(entry, len(self.classes), now, DEPTH_MS * self.pace)
             view.entry, self.servers[entry.name] = entry, view
             if entry.state is api.ServerState.GONE:
                 del self.servers[entry.name]
@@ -401,7 +410,7 @@
         self.even = self.arrived.rate / max(1.0, warm)
         self.fresh = self.first.rate / max(1.0, warm)
         # Guards against pauses that end before a gateway that sends rarely would send again.
-        self.skip_ms = min(SKIP_MAX_MS, max(LATE_SKIP_MS, 1000 / max(self.even, 1e-3)))
+        self.skip_ms = min(SKIP_MAX_MS * self.pace, max(self.least_skip_ms, 1000 / max(self.even, 1e-3)))
         for view in self.servers.values():
             self.run(view, seconds, now)
         # A few seeded peers are told: messages to all would grow as the gateways squared.
@@ -413,21 +422,21 @@
         self.next_run(self.random.uniform(0.9, 1.1), now)
 
     def next_run(self, runs: float, now: float) -> None:
-        self.due_at = now + RUN_MS * runs
-        self.actions.append(api.SetTimer(CONTROL_TIMER, RUN_MS * runs))
+        self.due_at = now + self.run_ms * runs
+        self.actions.append(api.SetTimer(CONTROL_TIMER, self.run_ms * runs))
 
     def run(self, view: ServerView, seconds: float, now: float) -> None:
         """One run of the paper's controller for a server, worthier classes first."""
         sample = view.percentile(now, self.target, self.woke_at)
         # A run stands for all since the last that held a sample: rates follow as fast where samples are rare.
-        span = min(SPAN_MAX, (now - view.run_at) / RUN_MS)
+        span = min(SPAN_MAX, (now - view.run_at) / self.run_ms)
         if sample is not None:
             view.current, view.run_at = sample + SMOOTH**span * (view.current - sample), now
         elif not view.out:  # with nothing sent, an old delay would bar the server for good
-            view.current *= SMOOTH ** (LATE_SKIP_MS / self.skip_ms)  # slowly where sends are rare
+            view.current *= SMOOTH ** (self.least_skip_ms / self.skip_ms)  # slowly where sends are rare
         for bucket in view.buckets:
             bucket.sent.run(seconds)
-            bucket.least = min(LEAST, max(1.0, self.skip_ms / DEPTH_MS / 2))
+            bucket.least = min(LEAST, max(1.0, self.skip_ms / (DEPTH_MS * self.pace) / 2))
         worths = [c.worth for c in self.settings.classes]
         cap = view.max_rate * self.part(0, self.arrived.rate)
         least = RATE_MIN / self.settings.gateways
