Add the WebSocket front, and one suite that runs over both transports

Clearing servers whose address begins with ws:// are dialled with it. Both are wires under the same connection classes, so the exchange sees no difference.

tests/scenario.py is a small language (send, expect, close, wait) for whole calls on loopback sockets under a clock that the test moves. Its 21 scenarios run over JSON lines and over WebSocket, and a further test plays each over both and compares every message, its cause and its time on the test clock.

Found while writing: a stand-in that closes brings the next attempt back to the first choice exactly when the guard ends (500 ms there), not before.

--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -15,6 +15,7 @@
 from sageweir.net.feed import FeedClient
 from sageweir.net.jsonlines import JsonLines
 from sageweir.net.servers import ServerSide
+from sageweir.net.websocket import WebSocket
 from sageweir.net.wire import Wire
 
 log = logging.getLogger("sageweir")
@@ -27,6 +28,9 @@
     exchange = Exchange(clock, limits, config.settings, config.seed)
 
     def server_wire(address: Address) -> Wire:
+        if address.path:
+            host = f"{address.host}:{address.port}"
+            return WebSocket(limits.message_bytes, limits.head_bytes, address.path, host)
         return JsonLines(limits.message_bytes)
 
     servers = ServerSide(clock, limits, exchange, server_wire)
@@ -43,6 +47,10 @@
         loop.add_signal_handler(number, stop.set)
     await callers.listen(config.listen.host, config.listen.port, lambda: JsonLines(limits.message_bytes))
     log.info("%s: serving at %s", config.name, config.listen)
+    if (front := config.websocket) is not None:
+        await callers.listen(front.host, front.port,
+                             lambda: WebSocket(limits.message_bytes, limits.head_bytes, front.path))
+        log.info("%s: serving WebSocket at %s", config.name, front)
     gc.freeze()  # what is there now stays: later collections need not look at it
     await stop.wait()
     stopped_at = clock.now()
@@ -51,7 +59,7 @@
     while (now := clock.now() - stopped_at) < limits.stop_open_ms or exchange.unanswered \
             or (exchange.calls and now < limits.stop_standing_ms):
         await asyncio.sleep(0.02)
-    callers.stop_listening()
+    callers.close()
     if feed is not None:
         feed.stop()
     servers.close()
--- a/sageweir/messages.py
+++ b/sageweir/messages.py
@@ -12,11 +12,14 @@
     SET_UP = "set-up"
     PROGRESS = "progress"
     ANSWER = "answer"
-    RELEASE = "release"  # also refuses, fails or gives up a set-up that is not answered
+    REFUSAL = "refusal"  # a final answer; trying again is harmless
+    FAILURE = "failure"  # a final answer
+    RELEASE = "release"  # ends a call, or gives up a set-up; what comes in may be a refusal too, by its cause
     HEARD = "release heard"
     TEST = "test"
     TESTED = "tested"
     STATUS = "status"
+    ERROR = "error"  # what was sent is no message
 
 
 class Cause:
--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -67,10 +67,16 @@
         """Refuse what is no message; a set-up whose id can be read is owed an answer all the same."""
         log.warning("%s: refused: call %s: %s", self.peer, fault.call or "unknown", fault.reason)
         if fault.set_up and fault.call and fault.call not in self.side.exchange.calls:
-            self.say(Message(Kind.RELEASE, fault.call, cause=Cause.MALFORMED))
+            self.say(Message(Kind.FAILURE, fault.call, {"reason": fault.reason}, Cause.MALFORMED))
+        else:
+            self.say(Message(Kind.ERROR, fault.call, {"reason": fault.reason}))
 
-    def opened(self) -> None:
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
         self.side.opened(self)
+        if not self.wire.ready():
+            # Guards against a peer that connects and never ends its handshake.
+            self.clock.after(self.limits.handshake_ms, lambda: None if self.wire.ready() else self.drop())
 
     def lost(self, reset: bool) -> None:
         self.side.connections.pop(self, None)
@@ -87,11 +93,11 @@
     def refuse(self, call: str, wait_ms: float) -> bool:
         self.open.discard(call)
         fields = {"wait": f"{wait_ms:.0f}"} if wait_ms > 0 else {}
-        return self.say(Message(Kind.RELEASE, call, fields, Cause.CONGESTION))
+        return self.say(Message(Kind.REFUSAL, call, fields, Cause.CONGESTION))
 
     def fail(self, call: str) -> bool:
         self.open.discard(call)
-        return self.say(Message(Kind.RELEASE, call, cause=Cause.RESET))
+        return self.say(Message(Kind.FAILURE, call, cause=Cause.RESET))
 
     def release(self, call: str, cause: int) -> bool:
         message = Message(Kind.RELEASE, call, cause=cause)
@@ -129,7 +135,10 @@
             victim.end("too many connections")
             self.connections.pop(victim, None)
 
-    def stop_listening(self) -> None:
+    def close(self) -> None:
+        """Stop listening and end what is open."""
         for server in self.listeners:
             server.close()
         self.listeners.clear()
+        for connection in list(self.connections):
+            connection.end("this controller stops")
--- a/sageweir/net/connection.py
+++ b/sageweir/net/connection.py
@@ -64,7 +64,7 @@
         was_ready = self.wire.ready()
         data = bytes(self._view[:nbytes])
         for item in self.wire.feed(data):
-            if not was_ready:
+            if not was_ready and self.wire.ready():
                 was_ready = True
                 self._write(self.wire.replies())
                 self.opened()
@@ -121,7 +121,15 @@
     def end(self, reason: str = "") -> None:
         """Close once all is written."""
         if self.transport is not None and not self.transport.is_closing():
-            self._write(self.wire.goodbye(reason))
+            parting = self.wire.goodbye(reason)
+            self._write(parting)
+            if parting:  # the peer's own goodbye is awaited for a moment
+                self.clock.after(self.limits.linger_ms, self._close)
+            else:
+                self._close()
+
+    def _close(self) -> None:
+        if self.transport is not None:
             self.transport.close()
 
     def drop(self) -> None:
--- a/sageweir/net/jsonlines.py
+++ b/sageweir/net/jsonlines.py
@@ -14,7 +14,7 @@
     "open": Kind.SET_UP, "trying": Kind.PROGRESS, "ready": Kind.ANSWER, "close": Kind.RELEASE,
     "closed": Kind.HEARD, "probe": Kind.TEST, "probed": Kind.TESTED, "status": Kind.STATUS,
 }
-NAMES = {kind: word for word, kind in WORDS.items()}
+NAMES = {kind: word for word, kind in WORDS.items()} | {Kind.REFUSAL: "close", Kind.FAILURE: "close"}
 ID = re.compile(r"[0-9a-f]{16}\Z")
 _ID_IN_TEXT = re.compile(rb'"sid"\s*:\s*"([0-9a-f]{16})"')
 _SET_UP_IN_TEXT = re.compile(rb'"msg"\s*:\s*"open"')
@@ -84,8 +84,10 @@
             self._rest.clear()
 
     def encode(self, message: Message) -> bytes:
+        if message.kind is Kind.ERROR:  # this wire has no word for it
+            return b""
         raw: dict[str, Any] = {"msg": NAMES[message.kind], "sid": message.call, "attrs": message.fields}
-        if message.kind in (Kind.RELEASE, Kind.TEST, Kind.TESTED):
+        if NAMES[message.kind] in ("close", "probe", "probed"):
             raw["code"] = message.cause
         if message.description is not None:
             raw["text"] = message.description
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,240 @@
+"""The scenario language: a line says who does what; a scenario runs over either transport.
+
+    c> setup A left=3000 dest=0     the caller c (c, c2: one connection each) sends a message
+    c< answer A                     the next message that the caller gets
+    s0> answer A                    a clearing server sends, on its newest connection (s0/0: on its first)
+    s0< setup A                     the next message that a clearing server gets
+    c: close | s0: close | s0: reset | s0: vanish | s0: return
+    list s0 DRAINING [started=MS]   the control feed's word
+    wait 300                        so many ms pass on the test clock
+    c: quiet | s0: quiet            all has settled, and nothing more has come
+
+Calls are letters. What is expected may add fields: cause=42, text=..., at=MS (test clock), wait=MS, left=MS.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Any
+
+from dahliabridge import interface as api
+from sageweir.clock import SetClock
+from sageweir.config import Address, Listed
+from sageweir.exchange import Exchange
+from sageweir.limits import Limits
+from sageweir.messages import Fault, Kind, Message
+from sageweir.net.callers import CallerSide
+from sageweir.net.connection import Connection
+from sageweir.net.jsonlines import JsonLines
+from sageweir.net.servers import ServerSide
+from sageweir.net.websocket import WebSocket
+from sageweir.net.wire import Wire
+from tests.driving import SETTINGS
+
+LIMITS = Limits(guard_ms=500.0, max_attempts=5)
+WORDS = {"setup": Kind.SET_UP, "answer": Kind.ANSWER, "release": Kind.RELEASE, "heard": Kind.HEARD,
+         "test": Kind.TEST, "tested": Kind.TESTED, "status": Kind.STATUS, "progress": Kind.PROGRESS,
+         "refusal": Kind.REFUSAL, "failure": Kind.FAILURE}
+NAMES = {kind: word for word, kind in WORDS.items()}
+PATIENCE_S = 5.0  # real time after which a message that should come is given up: no verdict hangs on less
+
+
+def wire(transport: str, client: bool) -> Wire:
+    if transport == "lines":
+        return JsonLines(LIMITS.message_bytes)
+    return WebSocket(LIMITS.message_bytes, LIMITS.head_bytes, "/calls", "stand-in" if client else "")
+
+
+class Peer(Connection):
+    """One stand-in's connection: keeps what came."""
+
+    def __init__(self, world: World, transport: str, client: bool, home: StandIn) -> None:
+        super().__init__(world.clock, LIMITS, wire(transport, client))
+        self.world, self.home = world, home
+
+    def opened(self) -> None:
+        self.home.peers.append(self)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.world.moved += 1
+        if not self.home.deaf:
+            super().buffer_updated(nbytes)
+
+    def received(self, message: Message) -> None:
+        if message.kind is not Kind.HEARD:  # free, and means nothing
+            self.home.got.append((self.clock.now() - self.world.start, message))
+            self.world.log.append((self.clock.now() - self.world.start, self.home.name, NAMES[message.kind],
+                                   message.call, message.cause))
+
+    def faulty(self, fault: Fault) -> None:
+        raise AssertionError(f"the controller sent no message: {fault}")
+
+    def lost(self, reset: bool) -> None:
+        self.world.moved += 1
+        if self in self.home.peers:
+            self.home.peers.remove(self)
+
+
+class StandIn:
+    """A caller or a clearing server."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.deaf = name, False
+        self.peers: list[Peer] = []
+        self.got: list[tuple[float, Message]] = []
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+
+class World:
+    """A controller on a test clock, with its stand-ins on loopback."""
+
+    def __init__(self, transport: str) -> None:
+        self.transport, self.moved = transport, 0
+        self.clock = SetClock(soon=asyncio.get_running_loop().call_soon)
+        self.start = self.clock.now()
+        self.log: list[tuple[Any, ...]] = []
+        self.stand_ins: dict[str, StandIn] = {}
+        self.exchange = Exchange(self.clock, LIMITS, SETTINGS, 1)
+        self.servers = ServerSide(self.clock, LIMITS, self.exchange, lambda _: wire(transport, True))
+        self.callers = CallerSide(self.clock, LIMITS, self.exchange)
+        self.port = 0
+
+    async def open(self, servers: int) -> None:
+        self.port = await self.callers.listen("127.0.0.1", 0, lambda: wire(self.transport, False))
+        for i in range(servers):
+            home = self.stand_ins[f"s{i}"] = StandIn(f"s{i}")
+            await self.listen(home)
+        self.servers.follow([self.listed(f"s{i}") for i in range(servers)], True)
+        await self.settle()
+
+    async def listen(self, home: StandIn) -> None:
+        home.server = await asyncio.get_running_loop().create_server(
+            lambda: Peer(self, self.transport, False, home), "127.0.0.1", home.port)
+        home.port = home.server.sockets[0].getsockname()[1]
+
+    def listed(self, name: str, state: api.ServerState = api.ServerState.IN_SERVICE,
+               started: float = 0.0) -> Listed:
+        entry = api.Server(name, int(name[1:]), state, started)
+        return Listed(entry, Address("127.0.0.1", self.stand_ins[name].port))
+
+    async def caller(self, name: str) -> StandIn:
+        if name not in self.stand_ins:
+            home = self.stand_ins[name] = StandIn(name)
+            await asyncio.get_running_loop().create_connection(
+                lambda: Peer(self, self.transport, True, home), "127.0.0.1", self.port)
+            await self.settle()
+        return self.stand_ins[name]
+
+    async def settle(self) -> None:
+        """Let all that is on its way arrive."""
+        still, last = 0, -1
+        while still < 8:
+            await asyncio.sleep(0.0005 if still > 4 else 0)
+            still, last = (still + 1 if last == self.moved else 0), self.moved
+
+    async def wait(self, ms: float) -> None:
+        end = self.clock.now() + ms
+        await self.settle()
+        while (due := self.clock.next_due(end)) is not None:
+            self.clock.move_to(due)
+            await self.settle()
+        self.clock.move_to(end)
+
+    async def expect(self, name: str, words: list[str]) -> None:
+        home = await self.caller(name) if name[0] == "c" else self.stand_ins[name]
+        until = asyncio.get_running_loop().time() + PATIENCE_S
+        while not home.got:
+            assert asyncio.get_running_loop().time() < until, f"{name} got nothing, expected {words}"
+            await asyncio.sleep(0.0005)
+        at, message = home.got.pop(0)
+        found = {"at": f"{at:.0f}", "cause": str(message.cause), "text": message.description or "",
+                 "load": "", **message.fields}
+        assert [NAMES[message.kind], message.call[:1].upper()] == words[:2], f"{name}: {message} at {at}"
+        for word in words[2:]:
+            key, _, value = word.partition("=")
+            assert found[key] == value, f"{name}: {key}={found[key]}, expected {word}; {message}"
+
+    async def tell(self, name: str, words: list[str]) -> None:
+        name, _, which = name.partition("/")
+        home = await self.caller(name) if name[0] == "c" else self.stand_ins[name]
+        fields = dict(word.split("=", 1) for word in words[2:])
+        if words[0] == "setup":
+            extras = f"dest:{fields.pop('dest', '0')};width:1;via:-1"
+            fields = {"class": "plain", "left": "3000", "key": "n1", "extras": extras} | fields
+        cause, text = int(fields.pop("cause", "0")), fields.pop("text", None)
+        home.peers[int(which) if which else -1].say(
+            Message(WORDS[words[0]], words[1].lower() * 16, fields, cause, text))
+        await self.settle()
+
+    async def do(self, name: str, verb: str) -> None:
+        home = await self.caller(name) if name[0] == "c" else self.stand_ins[name]
+        await self.settle()
+        if verb == "quiet":
+            assert not home.got, f"{name} got {home.got}"
+        elif verb == "close":
+            home.peers[-1].end()
+        elif verb == "reset":  # as a process that dies
+            if home.server is not None:
+                home.server.close()
+            for peer in list(home.peers):
+                assert peer.transport is not None
+                sock: socket.socket = peer.transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                peer.transport.abort()
+        elif verb == "vanish":
+            home.deaf = True
+        elif verb == "return":
+            home.deaf = False
+        else:
+            raise AssertionError(f"unknown verb {verb}")
+        await self.settle()
+
+    async def line(self, line: str) -> None:
+        head, *words = line.split()
+        if head == "wait":
+            await self.wait(float(words[0]))
+        elif head == "list":
+            state = {"DRAINING": api.ServerState.DRAINING, "DELETED": api.ServerState.GONE,
+                     "SERVING": api.ServerState.IN_SERVICE}[words[1]]
+            started = float(words[2].split("=")[1]) if len(words) > 2 else 0.0
+            self.servers.follow([self.listed(words[0], state, started)], False)
+            await self.settle()
+        elif head[-1] == ">":
+            await self.tell(head[:-1], words)
+        elif head[-1] == "<":
+            await self.expect(head[:-1], words)
+        else:
+            await self.do(head[:-1], words[0])
+
+    async def close(self) -> None:
+        self.servers.close()
+        self.callers.close()
+        for home in self.stand_ins.values():
+            if home.server is not None:
+                home.server.close()
+            for peer in list(home.peers):
+                peer.drop()
+        await self.settle()
+
+
+def play(text: str, transport: str, servers: int = 2) -> list[tuple[Any, ...]]:
+    """Run a scenario; what its stand-ins got, and when on the test clock."""
+
+    async def run() -> list[tuple[Any, ...]]:
+        world = World(transport)
+        await world.open(servers)
+        try:
+            for line in filter(None, (line.partition("#")[0].strip() for line in text.splitlines())):
+                try:
+                    await world.line(line)
+                except AssertionError as error:
+                    raise AssertionError(f"at '{line}': {error}") from None
+        finally:
+            await world.close()
+        assert world.exchange.unanswered == len([c for c in world.exchange.calls.values() if not c.stands])
+        return world.log
+
+    return asyncio.run(run())
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,227 @@
+"""Whole calls on loopback sockets, over JSON lines and over WebSocket: the same answers at the same times."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.scenario import play
+
+SCENARIOS = {
+    "a call is set up, stands and ends": """
+        c> setup A dest=0 text=offer
+        s0< setup A text=offer class=plain key=n1
+        s0> progress A
+        s0> answer A text=sdp
+        c< answer A text=sdp
+        wait 1000
+        s0> release A cause=16
+        c< release A cause=16
+        s1: quiet
+    """,
+    "the caller ends a call that stands, from another connection": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        c2> release A cause=16
+        s0< release A cause=16
+        c: quiet
+    """,
+    "full: the next server is tried at once": """
+        c> setup A
+        s0< setup A at=0
+        s0> release A cause=34
+        wait 20
+        s1< setup A at=20
+        s1> answer A text=x
+        c< answer A text=x
+        s0: quiet
+    """,
+    "moot and number busy are final": """
+        c> setup A
+        s0< setup A
+        s0> release A cause=17 note=sub
+        c< release A cause=41
+        s1: quiet
+    """,
+    "a time-out is given up, and the guard is kept": """
+        c> setup A left=9000
+        s0< setup A at=0 left=1950   # the aim and what an attempt may stay past it
+        wait 2500
+        s0< release A at=1950 cause=16
+        c< release A at=1950         # no time left within the aim: answered at once
+        s1: quiet
+    """,
+    "a late answer to an attempt that was given up is released, never delivered": """
+        c> setup A left=9000
+        s0< setup A
+        wait 1960
+        s0< release A
+        c< release A
+        s0> answer A text=late
+        s0< release A cause=16
+        wait 200
+        c: quiet
+    """,
+    "the server's socket closes mid-call: the guard, then one more attempt": """
+        c> setup A
+        s0< setup A at=0
+        s0: close
+        s0: quiet
+        wait 490
+        s0: quiet
+        s1: quiet
+        wait 40
+        s0< setup A at=500           # the first choice again, on a new connection
+        s0> answer A
+        c< answer A
+    """,
+    "the caller's socket closes mid-call: its attempt is cancelled": """
+        c> setup A
+        s0< setup A
+        c: close
+        s0< release A cause=16
+        s0> answer A                 # too late: nobody is there
+        s0< release A cause=16
+        s1: quiet
+    """,
+    "the caller gives up, and what comes after goes nowhere": """
+        c> setup A
+        s0< setup A
+        c> release A
+        s0< release A cause=16
+        s0> answer A text=late
+        s0< release A cause=16
+        c> release A
+        c: quiet
+    """,
+    "a call that stands outlives its caller's socket, and is released on another": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        c: close
+        wait 500
+        s0> release A cause=16
+        wait 500
+        c2: quiet
+        wait 100
+        c2< release A cause=16
+    """,
+    "a call that stands outlives the server's connection": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        wait 500
+        s0: close
+        wait 900
+        s0> release A cause=16       # on the connection that was dialled anew
+        c< release A cause=16
+    """,
+    "a process that dies cuts its calls": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        s0: reset
+        c< release A cause=41
+        s1: quiet
+    """,
+    "a refused dial proves that nothing ran": """
+        c> setup A dest=1
+        s1< setup A
+        s1> answer A
+        c< answer A
+        s0: reset
+        wait 500
+        c> setup B dest=0
+        wait 20
+        s1< setup B at=520
+    """,
+    "drained: nothing new goes there": """
+        list s0 DRAINING
+        c> setup A dest=0
+        s1< setup A at=0
+        s0: quiet
+    """,
+    "gone and silent: what stands there is cut": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        s0: vanish
+        wait 500
+        list s0 DELETED
+        wait 2600
+        c< release A cause=41
+    """,
+    "started again at its address: what stood there is cut": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        list s0 SERVING started=1000500
+        c< release A cause=41
+    """,
+    "a vanished server: its connection is replaced": """
+        s0: vanish
+        c> setup A left=9000
+        wait 2000
+        s0: quiet
+        c< release A at=1950
+        s0: return
+        wait 6000
+        c> setup B dest=0 key=n2
+        s0< setup B
+    """,
+    "nowhere to go: refused within the aim, at the moment that sending lost its use": """
+        list s0 DRAINING
+        list s1 DRAINING
+        c> setup A
+        wait 1200
+        c< release A at=1160 cause=42
+        c: quiet
+    """,
+    "an unknown class is refused, a second set-up with an open id is not taken": """
+        c> setup A class=odd
+        c< release A cause=42
+        c> setup B
+        s0< setup B
+        c2> setup B
+        s0> answer B
+        c< answer B
+        c2: quiet
+        s1: quiet
+    """,
+    "an answer that nobody waits for is released; other unknown ids are passed over": """
+        s0> answer A
+        s0< release A cause=16
+        s0> release B cause=16
+        c> release D
+        s0> tested E cause=1
+        c> test F
+        c< tested F cause=1
+        s0: quiet
+    """,
+    "a second answer is dropped": """
+        c> setup A
+        s0< setup A
+        s0> answer A text=one
+        s0> answer A text=two
+        c< answer A text=one
+        c: quiet
+        s0: quiet
+    """,
+}
+
+
+@pytest.mark.parametrize("transport", ["lines", "websocket"])
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario(name: str, transport: str) -> None:
+    play(SCENARIOS[name], transport)
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_both_transports_show_the_same_messages_at_the_same_times(name: str) -> None:
+    assert play(SCENARIOS[name], "lines") == play(SCENARIOS[name], "websocket")
