Cut the calls of a machine that stays silent and can't be dialled

Ruled out: releases that found no caller connection (none in the logs).

At fault: ServerLink knew of a silent machine only from an attempt that timed out, and from the list. Now a server with standing calls that says nothing for 2 s is dialled anew, which costs it nothing; if it stays silent for 6 s and no dial comes up, its calls are cut. A server that is only quiet keeps them. Both are scenarios. A connection whose last word came in the very millisecond of a set-up is now suspect too; the test of the replaced connection showed it.

--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -33,6 +33,8 @@
     feed_retry_ms: float = 100.0  # between dials of the feed, after the first at once
     release_retry_ms: float = 100.0  # between tries to tell a caller that its call is over
     release_for_ms: float = 8000.0  # how long these go on
+    quiet_ms: float = 2000.0  # a server with standing calls that says nothing so long is dialled anew, to see
+    vanished_ms: float = 6000.0  # and one that is silent so long, and can't be dialled, has cut its calls
     gone_silence_ms: float = 2000.0  # calls at a server that is gone from the list and silent so long are cut
     stop_open_ms: float = 800.0  # connections and requests are still taken so long after SIGTERM
     stop_standing_ms: float = 9000.0  # and calls that stand are waited for so long
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -53,6 +53,7 @@
 
     def received(self, message: Message) -> None:
         exchange, name = self.link.side.exchange, message.call
+        self.suspect = False
         report = parse_pairs(message.fields.get("load", ""))
         attempt = self.attempts.get(name)
         match message.kind:
@@ -114,12 +115,15 @@
         self.queue: list[Attempt] = []  # attempts that wait for a connection
         self.standing: dict[str, tuple[ServerConnection, Attempt]] = {}
         self.releases: dict[str, int] = {}  # releases of ours that wait for a connection
+        self.heard_at = side.clock.now()
         self.dialing: asyncio.Task[None] | None = None
         self.coming: ServerConnection | None = None  # dialled, and not open yet
         self.dialed_at = side.clock.now() - side.limits.redial_ms
         self.dial_timer: Timer | None = None
         self.redial: Timer | None = None
+        self.dial_failed_at = 0.0
         self.ended = False
+        self._look()
 
     # Dialling
 
@@ -161,6 +165,7 @@
 
     def _dial_failed(self, refused: bool, why: str) -> None:
         self._dial_over()
+        self.dial_failed_at = self.side.clock.now()
         log.info("%s: %s: dial failed: %s", self.name, self.address, why)
         queue, self.queue = self.queue, []
         for attempt in queue:  # a dial that failed proves that nothing ran
@@ -248,7 +253,7 @@
             if connection.attempts.get(attempt.request.call) is attempt:
                 connection.say(Message(Kind.RELEASE, attempt.request.call, cause=Cause.NORMAL))
                 silent = now - max(connection.heard_at, attempt.sent_at)
-                if not connection.suspect and connection.heard_at < attempt.sent_at \
+                if not connection.suspect and connection.heard_at <= attempt.sent_at \
                         and silent >= limits.silence_ms:
                     # Guards against a vanished machine: its old connections stay open and silent for good.
                     log.info("%s: silent for %.0f ms, a new connection is dialled", self.name, silent)
@@ -299,6 +304,24 @@
             if connection.unsent():
                 connection.drop()
 
+    def _look(self) -> None:
+        # Guards against a machine that vanishes with calls standing: it never says that they are over, and
+        # the list tells of it late or never. Callers have to be told within 8 s of a call's end, which is
+        # no sooner than the last word heard.
+        if self.ended:
+            return
+        limits, now = self.side.limits, self.side.clock.now()
+        heard = max((c.heard_at for c in self.connections), default=self.heard_at)
+        self.heard_at = max(heard, self.heard_at)
+        if self.standing and now - self.heard_at >= limits.quiet_ms:
+            if now - self.heard_at >= limits.vanished_ms and self.dial_failed_at > self.heard_at:
+                self.cut_all("it has vanished")
+            else:
+                for connection in self.connections:
+                    connection.suspect = True
+                self.dial()
+        self.side.clock.after(limits.quiet_ms / 4, self._look)
+
     def look_if_silent(self) -> None:
         """Gone from the list: calls are cut once nothing is heard any more."""
         if self.ended:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -52,14 +52,14 @@
 
     def __init__(self, world: World, transport: str, client: bool, home: StandIn) -> None:
         super().__init__(world.clock, LIMITS, wire(transport, client))
-        self.world, self.home = world, home
+        self.world, self.home, self.deaf = world, home, False
 
     def opened(self) -> None:
         self.home.peers.append(self)
 
     def buffer_updated(self, nbytes: int) -> None:
         self.world.moved += 1
-        if not self.home.deaf:
+        if not self.deaf:
             super().buffer_updated(nbytes)
 
     def received(self, message: Message) -> None:
@@ -81,7 +81,8 @@
     """A caller or a clearing server."""
 
     def __init__(self, name: str) -> None:
-        self.name, self.deaf = name, False
+        self.name = name
+        self.full: list[socket.socket] = []  # a backlog that takes no more, as a machine that is not there
         self.peers: list[Peer] = []
         self.got: list[tuple[float, Message]] = []
         self.server: asyncio.Server | None = None
@@ -185,9 +186,21 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 peer.transport.abort()
         elif verb == "vanish":
-            home.deaf = True
+            assert home.server is not None
+            home.server.close()
+            for peer in home.peers:
+                peer.deaf = True
+            home.full = [socket.socket() for _ in range(4)]
+            home.full[0].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            home.full[0].bind(("127.0.0.1", home.port))
+            home.full[0].listen(0)
+            for filler in home.full[1:]:
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", home.port))
         elif verb == "return":
-            home.deaf = False
+            for sock in home.full:
+                sock.close()
+            await self.listen(home)
         else:
             raise AssertionError(f"unknown verb {verb}")
         await self.settle()
@@ -213,6 +226,8 @@
         self.servers.close()
         self.callers.close()
         for home in self.stand_ins.values():
+            for sock in home.full:
+                sock.close()
             if home.server is not None:
                 home.server.close()
             for peer in list(home.peers):
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -156,6 +156,28 @@
         wait 2600
         c< release A cause=41
     """,
+    "a machine that vanishes with calls standing: they are released within 8 s of the last word": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        wait 100
+        s0: vanish
+        wait 5000
+        c: quiet
+        wait 2000
+        c< release A cause=41
+    """,
+    "a server that is only quiet keeps its calls": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        wait 9000
+        c: quiet
+        s0> release A cause=16
+        c< release A cause=16
+    """,
     "started again at its address: what stood there is cut": """
         c> setup A
         s0< setup A
