Keep what a restarted server took before the list told of its start

Checked: trial calls reach the new process before the list tells of it. At fault: ServerSide.follow closed the whole link on a new start time. Now only calls and connections older than the start go down with the old process. Test: a scenario in which the list tells late.

--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -49,6 +49,7 @@
         super().__init__(link.side.clock, link.side.limits, wire)
         self.link = link
         self.attempts: dict[str, Attempt] = {}  # by call; out, standing, or over without the server's word
+        self.opened_at = self.heard_at
         self.suspect = False  # silent after a set-up: nothing more is sent here
 
     def received(self, message: Message) -> None:
@@ -88,6 +89,7 @@
                 self.faulty(Fault(f"clearing servers send no {message.kind.value}", name))
 
     def opened(self) -> None:
+        self.opened_at = self.clock.now()
         self.link.opened(self)
 
     def lost(self, reset: bool) -> None:
@@ -332,6 +334,19 @@
         else:
             self.side.clock.after(self.side.limits.gone_silence_ms / 4, self.look_if_silent)
 
+    def restarted(self, started_ms: float) -> None:
+        """The list tells, late, that another process runs there since then."""
+        # Guards against cutting what the new process took already: only what is older went down with the old.
+        self.started_ms = started_ms
+        old = {name: kept for name, kept in self.standing.items() if kept[1].sent_at < started_ms}
+        young = {name: kept for name, kept in self.standing.items() if name not in old}
+        self.standing = old
+        self.cut_all("it has started again")
+        self.standing = young
+        for connection in list(self.connections):
+            if connection.opened_at < started_ms:
+                connection.drop()
+
     def close(self, why: str) -> None:
         self.ended = True
         self._give_dial_up()
@@ -366,10 +381,11 @@
                 continue
             if item.address is None:
                 continue
-            if link is not None and (link.address != item.address or (
-                    entry.started_ms and link.started_ms != entry.started_ms)):
-                link.close("it has started again")
+            if link is not None and link.address != item.address:
+                link.close("it has moved")
                 link = None
+            if link is not None and entry.started_ms and link.started_ms != entry.started_ms:
+                link.restarted(entry.started_ms)
             if link is None:
                 link = self.links[entry.name] = ServerLink(self, entry.name, item.address)
                 link.started_ms = entry.started_ms
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -186,6 +186,17 @@
         list s0 SERVING started=1000500
         c< release A cause=41
     """,
+    "started again, and told late: what the new process took stands": """
+        wait 600
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        list s0 SERVING started=1000500
+        c: quiet
+        s0> release A cause=16
+        c< release A cause=16
+    """,
     "a vanished server: its connection is replaced": """
         s0: vanish
         c> setup A left=9000
