--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,283 @@
+"""Configuration, the control feed, faults inside a call, and the whole program as a process."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dahliabridge import interface as api
+from dahliabridge.brain import Controller
+from sageweir.clock import SetClock
+from sageweir.config import Address, ConfigError, ListEvent, read, read_front
+from sageweir.exchange import Attempt, Ending, Exchange, Request
+from sageweir.limits import Limits
+from sageweir.net.feed import FeedClient
+from tests.driving import SETTINGS
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLE: dict[str, Any] = json.loads((ROOT / "examples" / "config.json").read_text())
+
+
+# Configuration
+
+def test_the_example_is_read() -> None:
+    config = read(EXAMPLE, {"NODE_NAME": "n7"})
+    assert config.name == "n7" and config.listen == Address("127.0.0.1", 3868) and config.feed is None
+    assert config.limits.guard_ms == 300.0 and config.limits.max_attempts == 6
+    assert [item.entry.name for item in config.known[0].listed] == ["toy-0", "toy-1"]
+    assert config.report_fields == ("idle", "circuits", "reduce")
+
+
+@pytest.mark.parametrize(("path", "value", "key"), [
+    ("listen", "nowhere", "listen: must be host:port"), ("listen", "a:99999", "listen: must be host:port"),
+    ("seed", "xyz", "seed: must be hex"), ("settings", [], "settings: must be dict"),
+    ("settings.grades", [], "settings: "), ("settings.caps.max_attempts", "6", "settings: 'max_attempts'"),
+    ("settings.caps.dial_timeout_ms", "x", "settings.caps.dial_timeout_ms: must be float"),
+    ("limits.sockets", 3, "limits.sockets: must be at least"), ("known.n", None, "known.n: must be int"),
+    ("known.events.0.members.instances.1.hostPort", "x", "known.events[0].members.instances[1].hostPort: "),
+    ("known.events.0.members.instances.1.lifecycle", "GOOD", "instances[1].lifecycle: unknown state 'GOOD'"),
+    ("known.events.0.members.instances.0.instanceId", 5, "instances[0].instanceId: must be str"),
+    ("known.events.0.members", 5, "known.events[0].members: must be dict"), ("feed", 5, "feed: must be str"),
+])
+def test_errors_name_the_faulty_key(path: str, value: object, key: str) -> None:
+    raw: Any = copy.deepcopy(EXAMPLE)
+    *parents, last = path.split(".")
+    at = raw
+    for part in parents:
+        at = at[int(part)] if part.isdigit() else at[part]
+    at[last] = value
+    with pytest.raises(ConfigError) as error:
+        read(raw)
+    assert key in str(error.value)
+
+
+def test_the_front_is_off_on_the_platform_and_its_file_is_checked(tmp_path: Path) -> None:
+    assert read_front(ROOT / "deploy" / "websocket.json") is None
+    path = tmp_path / "websocket.json"
+    path.write_text('{"websocket_listen": "ws://127.0.0.1:8068/v1/calls"}')
+    assert read_front(path) == Address("127.0.0.1", 8068, "/v1/calls")
+    path.write_text('{"websocket_listen": "127.0.0.1:8068"}')
+    with pytest.raises(ConfigError, match="websocket_listen"):
+        read_front(path)
+
+
+# The feed
+
+def event(number: int, name: str) -> bytes:
+    row = {"instanceId": name, "hostPort": "127.0.0.1:1", "cell": 0, "lifecycle": "SERVING"}
+    data = json.dumps({"n": number, "members": {"reset": False, "instances": [row]}})
+    return f": tick\n\nid: {number}\ndata: {data}\n\n".encode()
+
+
+def test_the_feed_goes_on_after_breaks_silence_and_nonsense_without_gap_or_repeat() -> None:
+    asked: list[str] = []
+    got: list[ListEvent] = []
+
+    async def run() -> None:
+        clock = SetClock()
+        done = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            asked.append(head.partition("Last-Event-ID: ")[2].partition("\r\n")[0])
+            if len(asked) == 3:
+                writer.write(b"HTTP/1.1 503 Busy\r\n\r\n")
+            else:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+            if len(asked) == 1:
+                writer.write(event(4, "a") + event(5, "b") + event(6, "c")[:20])  # and breaks off
+            elif len(asked) == 2:
+                writer.write(event(5, "b") + b"data: nonsense\n\n")
+            elif len(asked) == 4:
+                await reader.read()  # silent, until the other side has had enough
+            elif len(asked) == 5:
+                writer.write(event(6, "c"))
+                await done.wait()
+            writer.close()
+
+        def apply(found: ListEvent) -> None:
+            got.append(found)
+            if found.number == 6:
+                done.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        feed = FeedClient(clock, Limits(), Address("127.0.0.1", server.sockets[0].getsockname()[1]), 3, apply)
+        feed.start()
+
+        async def pass_time() -> None:
+            while not done.is_set():
+                clock.advance(50.0)
+                await asyncio.sleep(0.002)
+
+        await asyncio.wait_for(pass_time(), 30)
+        feed.stop()
+        server.close()
+
+    asyncio.run(run())
+    assert [found.number for found in got] == [4, 5, 6]
+    assert asked == ["3", "5", "5", "5", "5"]
+
+
+# Faults inside a call
+
+class Ends:
+    """A caller: keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[object, ...]] = []
+
+    def answer(self, call: str, description: str | None) -> bool:
+        self.told.append(("answer", call))
+        return True
+
+    def refuse(self, call: str, wait_ms: float) -> bool:
+        self.told.append(("refuse", call, wait_ms))
+        return True
+
+    def fail(self, call: str) -> bool:
+        self.told.append(("fail", call))
+        return True
+
+    def release(self, call: str, cause: int) -> bool:
+        self.told.append(("release", call))
+        return True
+
+
+class Road:
+    """The way to the clearing servers."""
+
+    def __init__(self, ends: Ends) -> None:
+        self.told = ends.told
+
+    def send(self, attempt: Attempt) -> None:
+        self.told.append(("send", attempt))
+
+    def give_up(self, attempt: Attempt) -> None:
+        self.told.append(("give up", attempt.request.call))
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        self.told.append(("release", attempt.request.call))
+
+
+def exchange(ends: Ends) -> tuple[Exchange, SetClock]:
+    clock = SetClock()
+    core = Exchange(clock, Limits(guard_ms=500.0, max_attempts=5), SETTINGS, 1)
+    core.servers = Road(ends)
+    core.list_changed([api.Server("a", 0, api.ServerState.IN_SERVICE)], True)
+    return core, clock
+
+
+def test_a_fault_of_the_module_ends_that_call_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    handle = Controller.handle
+
+    def faulty(self: Controller, told: api.Event, now_ms: float) -> list[api.Action]:
+        if isinstance(told, api.SetupRequest) and told.call == "bad":
+            raise KeyError("x")
+        return handle(self, told, now_ms)
+
+    monkeypatch.setattr(Controller, "handle", faulty)
+    ends = Ends()
+    core, clock = exchange(ends)
+    for name in ("bad", "good"):
+        core.take(Request(name, "plain", 3000.0, first_choice=0), ends)
+    clock.advance(1.0)
+    assert ends.told[0] == ("fail", "bad") and ends.told[1][0] == "send" and len(ends.told) == 2
+    assert list(core.calls) == ["good"]
+
+
+def test_a_module_that_sends_twice_or_too_soon_is_held_to_the_rules(monkeypatch: pytest.MonkeyPatch) -> None:
+    ends = Ends()
+    core, clock = exchange(ends)
+
+    def greedy(told: api.Event, now: float) -> list[api.Action]:
+        reset = isinstance(told, api.AttemptEnded) and told.outcome is api.Outcome.RESET
+        return [api.Send("x", "a", 100.0)] * 2 if reset or isinstance(told, api.SetupRequest) else []
+
+    monkeypatch.setattr(core.controller, "handle", greedy)
+    core.take(Request("x", "plain", 3000.0), ends)
+    clock.move_to(clock.now())
+    assert [told[0] for told in ends.told] == ["send"]  # one live attempt
+    attempt = ends.told[0][1]
+    assert isinstance(attempt, Attempt)
+    core.ended(attempt, Ending(api.Outcome.RESET))
+    clock.advance(400.0)
+    assert [told[0] for told in ends.told] == ["send"]  # and none within the guard
+
+
+def test_a_call_that_the_module_forgets_is_failed_at_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    ends = Ends()
+    core, clock = exchange(ends)
+    monkeypatch.setattr(core.controller, "handle", lambda told, now: [])
+    core.take(Request("x", "plain", 3000.0), ends)
+    clock.advance(2990.0)
+    assert ends.told == []
+    clock.advance(10.0)
+    assert ends.told == [("fail", "x")] and core.unanswered == 0
+
+
+# The program
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def test_the_program_serves_and_answers_what_it_took_before_it_stops(tmp_path: Path) -> None:
+    server = socket.create_server(("127.0.0.1", 0))
+    port = free_port()
+    raw = copy.deepcopy(EXAMPLE)
+    rows = raw["known"]["events"][0]["members"]["instances"]
+    del rows[1]
+    rows[0]["hostPort"] = f"127.0.0.1:{server.getsockname()[1]}"
+    raw["listen"] = f"127.0.0.1:{port}"
+    raw["settings"]["family_info"]["class_cells"] = [[0], [0]]
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    program = subprocess.Popen([sys.executable, "-m", "sageweir"], cwd=ROOT, stderr=subprocess.PIPE,
+                               env=os.environ | {"NODE_CONFIG": str(tmp_path / "config.json")})
+    assert program.stderr is not None
+    try:
+        assert b"serving" in program.stderr.readline()
+        drain = threading.Thread(target=program.stderr.read, daemon=True)
+        drain.start()
+        link, _ = server.accept()
+        with socket.create_connection(("127.0.0.1", port)) as caller, link:
+            names = ["a" * 16, "b" * 16]
+            lines, heard = caller.makefile(), link.makefile()
+            for i, name in enumerate(names):
+                attrs = {"class": "status-check", "left": "8000", "extras": "dest:0"}
+                caller.sendall(json.dumps({"msg": "open", "sid": name, "attrs": attrs}).encode() + b"\n")
+                assert json.loads(heard.readline())["sid"] == name
+                if i == 0:
+                    program.send_signal(signal.SIGTERM)  # the second set-up comes after it
+            for name in names:
+                ready = {"msg": "ready", "sid": name, "attrs": {}, "text": name}
+                link.sendall(json.dumps(ready).encode() + b"\n")
+                assert json.loads(lines.readline()) == ready
+                over = {"msg": "close", "sid": name, "attrs": {}, "code": 16}
+                link.sendall(json.dumps(over).encode() + b"\n")
+                assert json.loads(lines.readline())["msg"] == "close"
+            assert program.wait(timeout=60) == 0
+    finally:
+        program.kill()
+        program.wait()
+        server.close()
+
+
+def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text('{"listen": "127.0.0.1:1"}')
+    done = subprocess.run([sys.executable, "-m", "sageweir"], cwd=ROOT, capture_output=True, text=True,
+                          env=os.environ | {"NODE_CONFIG": str(path)}, check=False, timeout=60)
+    assert done.returncode == 2 and done.stderr == "sageweir: name: missing\n"
