Tell every refused call when to come back

Before, only calls of little worth were told to wait; a refused call that was not told dialled again by its own clock, into the same trouble. Now it is told half the longest wait, at once with its refusal; nothing is held back. At fault: Controller.finish, which advised cheap calls only.

--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -37,6 +37,7 @@
 LATE_STAY = 0.3  # part of the aim that an attempt may stay past it
 DEADLINE_MARGIN_MS = 15.0  # final answers come so long before the caller's time is up
 HOT_MS, HOT_KEYS = 10_000.0, 64  # a busy number ranks lowest so long; numbers remembered
+ADVICE_PART = 0.5  # of the longest wait that a refused call is told of, where it is not cheap
 LOW_WORTH = 0.1  # rank of calls to a busy number or over a share, as a part of their class's
 PEERS_TOLD, PEER_WEIGHT = 2, 0.1  # told each run, drawn by seed; weight of what one tells in the mean
 TICK_MS = 20.0  # looks at waiting calls
@@ -292,7 +293,9 @@
     def finish(self, call: CallState, now: float, failed: bool) -> None:
         self.forget(call.request.call)
         self.unserved[call.number] = call.first_at
-        advice = self.settings.max_advice_ms if self.settings.may_advise_wait and call.cheap else 0.0
+        # Guards against redials that come back into the same trouble: a cheap call has nothing to gain soon.
+        part = (1.0 if call.cheap else ADVICE_PART) if self.settings.may_advise_wait else 0.0
+        advice = part * self.settings.max_advice_ms
         self.actions.append(api.Fail(call.request.call) if failed else api.Refuse(call.request.call, advice))
 
     # Waiting and routing
