Heed the share of set-ups that a server asks each sender to hold back

The site's reports carry reduce (eps) and no max_rate, which alone the adapter read; so the module heard nothing of what servers said.

Now the rates of all classes but the worthiest shrink by the share for as long as it is asked for, and never under the minimum. The exchange and the adapter read reports by name in one place, adapter.read_report.

--- a/dahliabridge/adapter.py
+++ b/dahliabridge/adapter.py
@@ -5,7 +5,7 @@
 import json
 import math
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, TextIO
 
 from dahliabridge import interface as api
@@ -98,6 +98,13 @@
     return settings, tuple(str(name) for name in _list(load, "fields", []))
 
 
+def read_report(report: Mapping[str, Any]) -> tuple[float | None, float | None]:
+    """The values of a load report that the decisions use; below 0 is not told."""
+    rate, share = (report.get(name) for name in ("max_rate", "reduce"))
+    return (float(rate) if isinstance(rate, (int, float)) and rate >= 0 else None,
+            min(1.0, float(share)) if isinstance(share, (int, float)) and share >= 0 else None)
+
+
 def _server(row: Any) -> api.Server:
     row = _object(row, "a list entry")
     state = STATES.get(_text(row, "lifecycle", "IN"))
@@ -118,7 +125,7 @@
             "MEMBERSHIP": self._list_change, "ACCEPT": self._setup, "RESOLVED": self._ended,
             "NOTE_FROM": lambda e, _: api.PeerMessage(_int(e, "src_peer"), _text(e, "payload", "")),
             "VANISHED": lambda e, _: api.CallerGone(_text(e, "rid")),
-            "SAMPLED": lambda e, fields: api.ServerReport(_text(e, "switch"), self._max_rate(e, fields)),
+            "SAMPLED": lambda e, fields: api.ServerReport(_text(e, "switch"), *self._report(e, fields)),
             "ELAPSED": lambda e, _: api.TimerFired(_int(e, "name")),
             "FIRST_BYTE": lambda e, _: api.Answered(_text(e, "rid"), _int(e, "shot", 0), _text(e, "switch"),
                                                     _num(e, "took_ms", 0.0)),
@@ -203,15 +210,12 @@
             wait_ms = float(cause // CAUSE_BITS)
         return api.AttemptEnded(
             _text(event, "rid"), _int(event, "shot", 0), _text(event, "switch"), outcome,
-            _num(event, "took_ms", 0.0), _flag(event, "closed"), wait_ms, self._max_rate(event, fields),
+            _num(event, "took_ms", 0.0), _flag(event, "closed"), wait_ms, *self._report(event, fields),
         )
 
     @staticmethod
-    def _max_rate(event: dict[str, Any], fields: tuple[str, ...]) -> float | None:
-        values = _list(event, "metrics", [])
-        report = dict(zip(fields, values, strict=False))
-        value = report.get("max_rate")
-        return float(value) if isinstance(value, (int, float)) and value >= 0 else None
+    def _report(event: dict[str, Any], fields: tuple[str, ...]) -> tuple[float | None, float | None]:
+        return read_report(dict(zip(fields, _list(event, "metrics", []), strict=False)))
 
 
 def write_action(action: api.Action) -> dict[str, Any]:
--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -92,11 +92,16 @@
         self.samples: list[float] = []
         self.floor = inf  # least delay seen, ms: the way there and back, and a set-up's own work
         self.current, self.max_rate = 0.0, inf  # smoothed 90th-percentile delay, ms; last report, 1/s
+        self.hold_back = 0.0  # share of set-ups that the server asks each sender to hold back; last report
         self.out: dict[tuple[str, int], float] = {}  # unanswered attempts: when sent
         self.closed_until, self.bad = -inf, 0
         self.run_at = now  # when a run last held a sample
         self.cold = Bucket(now, 0.0)  # of all classes while the server is cold
 
+    def told(self, max_rate: float | None, hold_back: float | None) -> None:
+        self.max_rate = self.max_rate if max_rate is None else max_rate
+        self.hold_back = self.hold_back if hold_back is None else hold_back
+
     def listed(self) -> bool:
         return self.entry.state is api.ServerState.IN_SERVICE
 
@@ -175,8 +180,8 @@
                 self.gone(call)
             case api.ListChange():
                 self.follow(event, now_ms)
-            case api.ServerReport(server, float(rate)) if server in self.servers:
-                self.servers[server].max_rate = rate
+            case api.ServerReport(server, rate, share) if server in self.servers:
+                self.servers[server].told(rate, share)
             case api.PeerMessage(_, text):
                 self.hear(text)
             case api.TimerFired(timer) if timer == CONTROL_TIMER:
@@ -252,7 +257,7 @@
     def ended(self, event: api.AttemptEnded, now: float) -> None:
         view, call = self.servers.get(event.server), self.calls.get(event.call)
         if view:
-            view.max_rate = view.max_rate if event.max_rate is None else event.max_rate
+            view.told(event.max_rate, event.hold_back)
             sent = view.out.pop((event.call, event.attempt), None)
             if sent is not None and sent >= self.woke_at:
                 self.judge(view, event, now)
@@ -458,5 +463,8 @@
             elif error < RAISE_BELOW and not bucket.barred:
                 bucket.rise(error, RAISE_GAIN * self.even * seconds, self.even)
             bucket.barred = barred
+            if view.hold_back > 0 and i != self.order[0]:  # the worthiest class holds nothing back
+                asked = bucket.sent.rate * max(0.0, 1 - view.hold_back * seconds)
+                bucket.rate = min(bucket.rate, max(asked, least))
             bucket.rate = min(bucket.rate, max(cap, least))
             cap -= min(cap, bucket.sent.rate) if cap < inf else 0.0
--- a/dahliabridge/interface.py
+++ b/dahliabridge/interface.py
@@ -164,14 +164,18 @@
     closed: bool
     told_wait_ms: float = 0.0
     max_rate: float | None = None
+    hold_back: float | None = None  # share of new set-ups that the server asks each sender to hold back
 
 
 @dataclass(frozen=True, slots=True)
 class ServerReport:
-    """A server's report came by itself: the set-ups a second that it takes from all senders."""
+    """A server's report came by itself: the set-ups a second that it takes from all senders, and the share
+    that it asks each to hold back; None where it does not say.
+    """
 
     server: str
     max_rate: float | None
+    hold_back: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -15,6 +15,7 @@
 from typing import Protocol
 
 from dahliabridge import interface as api
+from dahliabridge.adapter import read_report
 from dahliabridge.brain import Controller
 from sageweir.clock import Clock, Timer
 from sageweir.limits import Limits
@@ -212,10 +213,10 @@
             call.live = None
             if ending.outcome in (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED):
                 call.not_before = now + self.limits.guard_ms
-        rate = ending.report.get("max_rate", -1.0)
+        rate, share = read_report(ending.report)
         self._post(api.AttemptEnded(
             name, attempt.number, attempt.server, ending.outcome, now - attempt.sent_at, call is None,
-            max_rate=rate if rate >= 0 else None))
+            max_rate=rate, hold_back=share))
 
     def _finish(self, name: str, tell: Callable[[Call], bool]) -> None:
         """Give the final answer, once."""
@@ -302,8 +303,7 @@
 
     def reported(self, server: str, report: Mapping[str, float]) -> None:
         """A clearing server's report came by itself."""
-        rate = report.get("max_rate", -1.0)
-        self._post(api.ServerReport(server, rate if rate >= 0 else None))
+        self._post(api.ServerReport(server, *read_report(report)))
 
     def answered(self, attempt: Attempt, description: str | None) -> None:
         """A clearing server answered a set-up: the call stands."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -154,3 +154,14 @@
     batch(host, [*BORN, *(ACCEPT | {"rid": f"{i:016x}"} for i in range(6000))])
     refused = batch(host, [{"op": "ELAPSED", "name": 2}], 11_600.0)
     assert sum(a["op"] == "REFUSE" for a in refused) > 5900
+
+
+def test_the_share_to_hold_back_is_read_by_its_name() -> None:
+    host = Host()
+    settings = SETTINGS | {"load_info": {"fields": ["idle", "circuits", "reduce"]}}
+    born = {"op": "BORN", "seed": 7, "settings": settings}
+    batch(host, [born, *BORN[1:], {"op": "SAMPLED", "switch": "s.a", "code": 0, "took_ms": 0.0,
+                                   "metrics": [4, 5, 0.25]}])
+    assert host.controllers[3].servers["s.a"].hold_back == 0.25
+    batch(host, [{"op": "SAMPLED", "switch": "s.a", "code": 0, "took_ms": 0.0, "metrics": [4, 5, -1]}])
+    assert host.controllers[3].servers["s.a"].hold_back == 0.25
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -642,3 +642,23 @@
         gateway.call(f"x{i}", first=i)
         gateway.wait(10.0)
     assert set(gateway.brain.named) == {0}
+
+
+def test_lower_classes_hold_back_what_the_server_asks_for() -> None:
+    gateway = Gateway([A])
+    gateway.tell(api.ServerReport("a", None, 0.4))
+    run(gateway, [10.0], use=10.0)
+    plain, dear = view(gateway).buckets
+    assert plain.rate == pytest.approx(6.0) and dear.rate == brain.RATE_MAX
+    gateway.tell(api.ServerReport("a", None, None))  # a report without the figure changes nothing
+    assert view(gateway).hold_back == 0.4
+
+
+def test_a_refused_call_is_told_when_to_come_back() -> None:
+    gateway = Gateway([], may_advise_wait=True, max_advice_ms=2000.0)
+    gateway.call("x", patience_ms=3000.0)
+    gateway.wait(1200.0)
+    gateway.call("again", patience_ms=3000.0, redialled=True)  # its aim is over: it is cheap
+    gateway.wait(3000.0)
+    assert gateway.finals("x") == [api.Refuse("x", 1000.0)]
+    assert gateway.finals("again") == [api.Refuse("again", 2000.0)]
