Keep the first set-up of a doubled id on its connection; say more of late failures

Seen in review: a set-up that came twice on one connection was struck from that connection's open ones (CallerConnection.received), so a close of the socket left its attempt out to the end. A scenario shows it. A fault inside the taking of a set-up is now answered too (Connection.buffer_updated). Checked by hand: the WebSocket front as a process, from handshake to the closing handshake with 1000.

--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -253,7 +253,8 @@
         # Guards against a request without a final answer, should the module ever forget one.
         call = self.calls.get(name)
         if call is not None and not call.stands:
-            log.error("call %s: no answer from the decision module, failed at its deadline", name)
+            log.warning("call %s: undecided near its deadline, failed; it came with %.0f ms, %d attempts",
+                        name, call.request.left_ms, call.attempts)
             self._give_up_on(name)
 
     # From callers
--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -49,8 +49,10 @@
                 if isinstance(request, str):
                     self.faulty(Fault(request, message.call, True))
                 else:
+                    # Guards against a set-up that comes twice: the first one stays open here.
+                    fresh = request.call not in self.open
                     self.open.add(request.call)
-                    if not self.side.exchange.take(request, self):
+                    if not self.side.exchange.take(request, self) and fresh:
                         self.open.discard(request.call)
             case Kind.RELEASE:
                 self.open.discard(message.call)
--- a/sageweir/net/connection.py
+++ b/sageweir/net/connection.py
@@ -9,7 +9,7 @@
 
 from sageweir.clock import Clock
 from sageweir.limits import Limits
-from sageweir.messages import Fault, Message
+from sageweir.messages import Fault, Kind, Message
 from sageweir.net.wire import Wire
 
 log = logging.getLogger("sageweir.net")
@@ -76,7 +76,7 @@
             except Exception:  # a fault over one message ends nothing else
                 log.exception("%s: failed on %r", self.peer, item)
                 if isinstance(item, Message):
-                    self.faulty(Fault("internal fault", item.call))
+                    self.faulty(Fault("internal fault", item.call, item.kind is Kind.SET_UP))
         self._write(self.wire.replies())
         if not was_ready and self.wire.ready():
             self.opened()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -237,6 +237,14 @@
         c< tested F cause=1
         s0: quiet
     """,
+    "a set-up that comes twice on a socket that then closes: its attempt is cancelled": """
+        c> setup A
+        s0< setup A
+        c> setup A
+        c: close
+        s0< release A cause=16
+        s1: quiet
+    """,
     "a second answer is dropped": """
         c> setup A
         s0< setup A
