--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -17,6 +17,7 @@
 from sageweir.net.servers import ServerSide
 from sageweir.net.websocket import WebSocket
 from sageweir.net.wire import Wire
+from sageweir.net.xds import Discovery, DiscoveryConnection
 
 log = logging.getLogger("sageweir")
 
@@ -51,6 +52,10 @@
         await callers.listen(front.host, front.port,
                              lambda: WebSocket(limits.message_bytes, limits.head_bytes, front.path))
         log.info("%s: serving WebSocket at %s", config.name, front)
+    if (proxies := config.xds) is not None:
+        discovery = Discovery(servers.outlook)
+        await loop.create_server(lambda: DiscoveryConnection(limits, discovery), proxies.host, proxies.port)
+        log.info("%s: serving endpoint discovery at %s", config.name, proxies)
     gc.freeze()  # what is there now stays: later collections need not look at it
     await stop.wait()
     stopped_at = clock.now()
--- a/sageweir/config.py
+++ b/sageweir/config.py
@@ -16,7 +16,7 @@
 
 STATES = {"SERVING": api.ServerState.IN_SERVICE, "DRAINING": api.ServerState.DRAINING,
           "DELETED": api.ServerState.GONE}
-FRONT_FILE = Path("deploy/websocket.json")
+FRONT_FILE = Path("deploy/fronts.json")
 
 
 class ConfigError(ValueError):
@@ -66,6 +66,7 @@
     known_number: int
     limits: Limits
     websocket: Address | None = None
+    xds: Address | None = None
 
 
 def _get(obj: Mapping[str, Any], key: str, kind: type, where: str, default: Any = ...) -> Any:
@@ -136,16 +137,17 @@
     return raw
 
 
-def read_front(path: Path) -> Address | None:
-    """Where the WebSocket front listens; None where it is off or the file is missing."""
+def read_front(path: Path, key: str = "websocket_listen") -> Address | None:
+    """Where a front listens; None where it is off or the file is missing."""
     if not path.exists():
         return None
-    text = _get(_load(path, "deploy"), "websocket_listen", str, f"{path.name}: ", "")
+    text = _get(_load(path, "deploy"), key, str, f"{path.name}: ", "")
     if not text:
         return None
-    address = read_address(text, f"{path.name}: websocket_listen")
-    if not address.path:
-        raise ConfigError(f"{path.name}: websocket_listen: must be ws://host:port/path, got {text!r}")
+    address = read_address(text, f"{path.name}: {key}")
+    if bool(address.path) != (key == "websocket_listen"):
+        form = "host:port" if address.path else "ws://host:port/path"
+        raise ConfigError(f"{path.name}: {key}: must be {form}, got {text!r}")
     return address
 
 
@@ -154,11 +156,12 @@
     path = environ.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: missing")
-    return read(_load(Path(path), "NODE_CONFIG"), environ, read_front(front_file))
+    return read(_load(Path(path), "NODE_CONFIG"), environ, read_front(front_file),
+                read_front(front_file, "xds_listen"))
 
 
 def read(raw: Mapping[str, Any], environ: Mapping[str, str] | None = None,
-         websocket: Address | None = None) -> Config:
+         websocket: Address | None = None, xds: Address | None = None) -> Config:
     """Check a configuration object."""
     environ = environ or {}
     name = environ.get("NODE_NAME") or _get(raw, "name", str, "")
@@ -191,4 +194,4 @@
                    for i, event in enumerate(_get(known, "events", list, "known.")))
     feed = _get(raw, "feed", str, "", "")
     return Config(name, read_address(listen, "listen"), read_address(feed, "feed") if feed else None, number,
-                  settings, fields, events, _get(known, "n", int, "known.", 0), limits, websocket)
+                  settings, fields, events, _get(known, "n", int, "known.", 0), limits, websocket, xds)
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -18,6 +18,7 @@
     # Counts
     max_attempts: int = 6  # set-ups of one call
     caller_connections: int = 400  # from callers, over all fronts; they hold at most a third of the sockets
+    proxy_connections: int = 64  # that ask for endpoint discovery
     server_connections: int = 8  # to one clearing server
     open_calls: int = 20_000  # requests waited for at once
     kept_attempts: int = 2048  # attempts that are over and still remembered, on one connection
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -63,7 +63,8 @@
 
 
 def test_the_front_is_off_on_the_platform_and_its_file_is_checked(tmp_path: Path) -> None:
-    assert read_front(ROOT / "deploy" / "websocket.json") is None
+    assert read_front(ROOT / "deploy" / "fronts.json") is None
+    assert read_front(ROOT / "deploy" / "fronts.json", "xds_listen") is None
     path = tmp_path / "websocket.json"
     path.write_text('{"websocket_listen": "ws://127.0.0.1:8068/v1/calls"}')
     assert read_front(path) == Address("127.0.0.1", 8068, "/v1/calls")
