Heed SIGHUP: read the configuration anew and move the feed with its number kept

Checked: `__main__.serve` handled SIGTERM and SIGINT alone, so the system's default for SIGHUP applied. Ruled out: the feed itself.

At fault: sageweir/__main__.py (signal handlers), sageweir/net/feed.py (one address for good).

Now: sageweir/reload.py reads the file whole and checks it before anything changes. A fault is logged with its key, the file is read again for 2 s (it may be caught half written), and the old configuration stays. Events that the new file knows and the program doesn't are applied first, then the feed is dialled at its new address with Last-Event-ID. No call and no other connection is touched.

The two new tests fail without the change.

--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -18,12 +18,13 @@
 from sageweir.net.websocket import WebSocket
 from sageweir.net.wire import Wire
 from sageweir.net.xds import Discovery, DiscoveryConnection
+from sageweir.reload import Reloader
 
 log = logging.getLogger("sageweir")
 
 
 async def serve(config: Config) -> None:
-    """Serve until SIGTERM or SIGINT, then answer all that was taken."""
+    """Serve until SIGTERM or SIGINT, then answer all that was taken; SIGHUP reads the configuration anew."""
     loop, limits = asyncio.get_running_loop(), config.limits
     clock = SystemClock(loop)
     exchange = Exchange(clock, limits, config.settings, config.seed)
@@ -38,11 +39,10 @@
     callers = CallerSide(clock, limits, exchange)
     for event in config.known:
         servers.follow(event.listed, event.complete)
-    feed = None
-    if config.feed is not None:
-        feed = FeedClient(clock, limits, config.feed, config.known_number,
-                          lambda event: servers.follow(event.listed, event.complete))
-        feed.start()
+    feed = FeedClient(clock, limits, config.feed, config.known_number,
+                      lambda event: servers.follow(event.listed, event.complete))
+    feed.start()
+    loop.add_signal_handler(signal.SIGHUP, Reloader(clock, config, feed, load).reload)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -65,8 +65,7 @@
             or (exchange.calls and now < limits.stop_standing_ms):
         await asyncio.sleep(0.02)
     callers.close()
-    if feed is not None:
-        feed.stop()
+    feed.stop()
     servers.close()
     await asyncio.sleep(0.05)  # what was written last goes out
     log.info("%s: stopped", config.name)
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -31,6 +31,8 @@
     answer_margin_ms: float = 8.0  # the exchange itself fails a call that is unanswered so near its end
     silence_ms: float = 1500.0  # a clearing server that says nothing so long after a set-up is suspect
     feed_silence_ms: float = 2500.0  # the feed comments each second; this much silence is a dead connection
+    reload_retry_ms: float = 200.0  # between readings of a changed configuration that has a fault
+    reload_for_ms: float = 2000.0  # how long these go on
     feed_retry_ms: float = 100.0  # between dials of the feed, after the first at once
     release_retry_ms: float = 100.0  # between tries to tell a caller that its call is over
     release_for_ms: float = 8000.0  # how long these go on
--- a/sageweir/net/feed.py
+++ b/sageweir/net/feed.py
@@ -18,8 +18,8 @@
 class FeedConnection(asyncio.BufferedProtocol):
     """One connection to the feed."""
 
-    def __init__(self, feed: FeedClient) -> None:
-        self.feed = feed
+    def __init__(self, feed: FeedClient, address: Address) -> None:
+        self.feed, self.address = feed, address
         self.transport: asyncio.Transport | None = None
         self.heard_at = feed.clock.now()
         self._view = memoryview(bytearray(feed.limits.read_bytes))
@@ -32,7 +32,7 @@
         self.transport = cast(asyncio.Transport, transport)
         feed = self.feed
         self.transport.write(
-            f"GET /v1/events HTTP/1.1\r\nHost: {feed.address}\r\nAccept: text/event-stream\r\n"
+            f"GET /v1/events HTTP/1.1\r\nHost: {self.address}\r\nAccept: text/event-stream\r\n"
             f"Last-Event-ID: {feed.number}\r\nCache-Control: no-cache\r\n\r\n".encode())
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -74,7 +74,7 @@
 class FeedClient:
     """Keeps one connection to the feed, and applies each event once and in order."""
 
-    def __init__(self, clock: Clock, limits: Limits, address: Address, number: int,
+    def __init__(self, clock: Clock, limits: Limits, address: Address | None, number: int,
                  apply: Callable[[ListEvent], None]) -> None:
         self.clock, self.limits, self.address, self.number, self.apply = clock, limits, address, number, apply
         self.connection: FeedConnection | None = None
@@ -99,26 +99,53 @@
     def take(self, data: str) -> None:
         """Apply one event; one that is known already is passed over."""
         event = decode_event(data)
-        if event.number > self.number:
-            self.apply(event)
-            self.number = event.number
+        self.catch_up((event,), event.number)
+
+    def catch_up(self, events: tuple[ListEvent, ...], number: int) -> None:
+        """Apply what is new of these, which go up to that number; each counts once, whoever told it."""
+        for event in events:
+            if event.number > self.number:
+                self.apply(event)
+                self.number = event.number
+        self.number = max(self.number, number)
+
+    def move(self, address: Address | None) -> None:
+        """Go to the feed's new address, and go on after the last number."""
+        if address == self.address and self.connection is not None:
+            return
+        # Guards against news that waits for the old feed to close: it says nothing more, so it goes at once.
+        self.address, old, task = address, self.connection, self._task
+        self.connection = self._task = None
+        if task is not None:
+            task.cancel()
+        if old is not None and old.transport is not None:
+            old.transport.abort()
+        self._dial()
 
     def _dial(self) -> None:
-        if not self._stopped and self._task is None and self.connection is None:
+        if not self._stopped and self._task is None and self.connection is None and self.address is not None:
             self._dialed_at = self.clock.now()
-            self._task = asyncio.get_running_loop().create_task(self._connect())
+            self._task = asyncio.get_running_loop().create_task(self._connect(self.address))
 
-    async def _connect(self) -> None:
-        connection = FeedConnection(self)
+    async def _connect(self, address: Address) -> None:
+        connection, task = FeedConnection(self, address), asyncio.current_task()
         try:
             await asyncio.wait_for(asyncio.get_running_loop().create_connection(
-                lambda: connection, self.address.host, self.address.port), self.limits.dial_ms / 1000)
-            self.connection = connection
+                lambda: connection, address.host, address.port), self.limits.dial_ms / 1000)
+            if self._task is task:
+                self.connection = connection
+            elif connection.transport is not None:  # the feed has moved meanwhile
+                connection.transport.abort()
+        except asyncio.CancelledError:
+            if connection.transport is not None:
+                connection.transport.abort()
+            raise
         except (OSError, TimeoutError) as error:
-            log.warning("feed: %s: %s", self.address, error or "no connection in time")
+            log.warning("feed: %s: %s", address, error or "no connection in time")
             self.clock.after(self.limits.feed_retry_ms, self._dial)
         finally:
-            self._task = None
+            if self._task is task:
+                self._task = None
         if self.connection is connection and connection.transport is not None \
                 and connection.transport.is_closing():
             self.lost(connection)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import dataclasses
 import json
 import os
 import signal
@@ -11,6 +12,7 @@
 import subprocess
 import sys
 import threading
+import time
 from pathlib import Path
 from typing import Any
 
@@ -19,10 +21,11 @@
 from dahliabridge import interface as api
 from dahliabridge.brain import Controller
 from sageweir.clock import SetClock
-from sageweir.config import Address, ConfigError, ListEvent, read, read_front
+from sageweir.config import Address, Config, ConfigError, ListEvent, read, read_front
 from sageweir.exchange import Attempt, Ending, Exchange, Request
 from sageweir.limits import Limits
 from sageweir.net.feed import FeedClient
+from sageweir.reload import Reloader
 from tests.driving import SETTINGS
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -75,9 +78,17 @@
 
 # The feed
 
+def at(listener: socket.socket) -> str:
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def row(number: int, listener: socket.socket) -> dict[str, object]:
+    return {"instanceId": f"s-{number}", "hostPort": at(listener), "cell": number, "lifecycle": "SERVING"}
+
+
 def event(number: int, name: str) -> bytes:
-    row = {"instanceId": name, "hostPort": "127.0.0.1:1", "cell": 0, "lifecycle": "SERVING"}
-    data = json.dumps({"n": number, "members": {"reset": False, "instances": [row]}})
+    entry = {"instanceId": name, "hostPort": "127.0.0.1:1", "cell": 0, "lifecycle": "SERVING"}
+    data = json.dumps({"n": number, "members": {"reset": False, "instances": [entry]}})
     return f": tick\n\nid: {number}\ndata: {data}\n\n".encode()
 
 
@@ -130,6 +141,85 @@
     assert asked == ["3", "5", "5", "5", "5"]
 
 
+def test_a_reload_moves_the_feed_with_its_number_and_keeps_the_old_on_a_fault(
+        caplog: pytest.LogCaptureFixture) -> None:
+    clock, told = SetClock(), list[object]()
+    config = read(EXAMPLE)
+    moved = dataclasses.replace(config, feed=Address("127.0.0.1", 9), known_number=7)
+    loads: list[Config | ConfigError] = [ConfigError("limits.sockets: missing"), moved, ConfigError("x")]
+
+    def load() -> Config:
+        found = loads.pop(0) if len(loads) > 1 else loads[0]
+        if isinstance(found, ConfigError):
+            raise found
+        return found
+
+    class Feed:
+        def catch_up(self, events: tuple[ListEvent, ...], number: int) -> None:
+            told.append(number)
+
+        def move(self, address: Address | None) -> None:
+            told.append(address)
+
+    reloader = Reloader(clock, config, Feed(), load)
+    reloader.reload()  # caught half written
+    assert told == [] and reloader.config is config and "limits.sockets: missing" in caplog.text
+    clock.advance(200.0)
+    assert told == [7, Address("127.0.0.1", 9)] and reloader.config is moved
+    reloader.reload()
+    clock.advance(10_000.0)
+    assert len(told) == 2 and reloader.config is moved and clock.next_due(1e12) is None
+
+
+def test_the_program_follows_a_moved_feed_on_sighup_and_drops_no_call(tmp_path: Path) -> None:
+    heads, gate = list[str](), threading.Event()
+
+    def feed(listener: socket.socket, news: bytes) -> None:
+        sock, _ = listener.accept()
+        with sock:
+            heads.append(sock.recv(65536).decode())
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + news)
+            gate.wait(60)
+
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+    raw = copy.deepcopy(EXAMPLE)
+    known = raw["known"]["events"][0]
+    known["members"]["instances"] = [row(i, listeners[0]) for i in range(1)]
+    raw["listen"] = f"127.0.0.1:{free_port()}"
+    path, number = tmp_path / "config.json", raw["known"]["n"]
+    new = {"n": number + 1, "members": {"reset": False, "instances": [row(1, listeners[0])]}}
+    for i in (1, 2):
+        news = f"id: {number + 1}\ndata: {json.dumps(new)}\n\n".encode() if i == 1 else b": tick\n\n"
+        threading.Thread(target=feed, args=(listeners[i], news), daemon=True).start()
+    raw["feed"] = at(listeners[1])
+    path.write_text(json.dumps(raw))
+    program = subprocess.Popen([sys.executable, "-m", "sageweir"], cwd=ROOT, stderr=subprocess.PIPE,
+                               text=True, env=os.environ | {"NODE_CONFIG": str(path)})
+    assert program.stderr is not None
+    try:
+        assert "serving" in program.stderr.readline()
+        threading.Thread(target=program.stderr.read, daemon=True).start()
+        links = [listeners[0].accept()[0] for _ in range(2)]  # one of the start, one of the first feed's news
+        raw["feed"] = at(listeners[2])
+        path.write_text(json.dumps(raw))
+        program.send_signal(signal.SIGHUP)
+        while len(heads) < 2:
+            assert program.poll() is None
+            time.sleep(0.01)
+        assert f"Last-Event-ID: {number + 1}\r\n" in heads[1]
+        for link in links:
+            link.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                link.recv(1)  # still open, and silent
+            link.close()
+    finally:
+        gate.set()
+        program.kill()
+        program.wait()
+        for listener in listeners:
+            listener.close()
+
+
 # Faults inside a call
 
 class Ends:
