Close a server's connection at the first spoilt answer; overtaken time-outs give no sample

Checked with a trace of messages and of the module's state: at 4.21 s one answer could not be read (`refused: unknown type None`). From then on nothing came on that connection, yet 8 more set-ups went out on it and all timed out, until the watch for vanished machines replaced it 2.5 s later. The module took each for a sign of the server's delay: five bad ends, only trial calls, the rate cut to 2 a second where 70 were well served. This happened four times in 27 s.

Now, one change over both sides of it: a message that can't be read, or is not whole 100 ms after its first byte, ends the connection; what was out on it ends as reset and goes again after the guard. Silence for a whole attempt does the same. Calls that stand stay: a reset alone cuts none, a refused dial does. Set-ups are spread over up to four connections. In the module, a time-out whose server has answered a later set-up gives no sample and no pause, and a reset within the target counts only from the third in a row.

The new scenarios and tests fail without the change, on both transports where the transport matters.

--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -96,12 +96,19 @@
         self.out: dict[tuple[str, int], float] = {}  # unanswered attempts: when sent
         self.closed_until, self.bad = -inf, 0
         self.run_at = now  # when a run last held a sample
+        self.passed = -inf  # when the latest sent of all answered attempts was sent
         self.cold = Bucket(now, 0.0)  # of all classes while the server is cold
 
     def told(self, max_rate: float | None, hold_back: float | None) -> None:
         self.max_rate = self.max_rate if max_rate is None else max_rate
         self.hold_back = self.hold_back if hold_back is None else hold_back
 
+    def pending(self) -> list[float]:
+        """When those were sent that a server with one line still owes: an answer to a later one shows that
+        its own was spoilt or lost on the way, which tells nothing of the server's delay.
+        """
+        return [sent for sent in self.out.values() if sent >= self.passed]
+
     def listed(self) -> bool:
         return self.entry.state is api.ServerState.IN_SERVICE
 
@@ -114,7 +121,7 @@
 
     def percentile(self, now: float, target: float, since: float) -> float | None:
         """The run's 90th-percentile sample; a silent attempt's age over target is one already."""
-        silent = [now - sent for sent in self.out.values() if sent >= since and now - sent > target]
+        silent = [now - sent for sent in self.pending() if sent >= since and now - sent > target]
         found, self.samples = sorted(self.samples + silent), []
         return found[ceil(PERCENTILE * len(found)) - 1] if found else None
 
@@ -243,6 +250,7 @@
         if view and sent is not None and sent >= self.woke_at:
             # Guards against a target near what an idle server takes: rates, once cut, could never rise again.
             view.floor = min(view.floor, event.took_ms)
+            view.passed = max(view.passed, sent)
             delay = event.took_ms - min(view.floor, self.target)
             view.samples.append(delay)
             view.bad, call = 0, self.calls.get(event.call)
@@ -260,7 +268,7 @@
             view.told(event.max_rate, event.hold_back)
             sent = view.out.pop((event.call, event.attempt), None)
             if sent is not None and sent >= self.woke_at:
-                self.judge(view, event, now)
+                self.judge(view, event, sent, now)
         if event.outcome is api.Outcome.NUMBER_BUSY and call:
             self.hot.pop(call.number, None)
             self.hot[call.number] = now + HOT_MS
@@ -276,12 +284,17 @@
         if over or call.ready_at >= self.latest(call):  # at once: after an own stall its time may be up
             self.finish(call, now, failed=True)
 
-    def judge(self, view: ServerView, event: api.AttemptEnded, now: float) -> None:
+    def judge(self, view: ServerView, event: api.AttemptEnded, sent: float, now: float) -> None:
         """Samples and pauses from an attempt that ended before it stood."""
+        if event.outcome is api.Outcome.TIMED_OUT and sent < view.passed:
+            return  # its answer was spoilt or lost: the server has answered what was sent later
         if event.outcome in BAD:
             full = event.outcome is api.Outcome.FULL
-            view.samples.append(2 * self.target if full else max(event.took_ms, 2 * self.target))
             view.bad += 1
+            # Guards against connections that break at a server that is well: it is no sign of its delay.
+            if event.outcome is api.Outcome.RESET and event.took_ms <= self.target and view.bad < BAD_ENDS:
+                return
+            view.samples.append(2 * self.target if full else max(event.took_ms, 2 * self.target))
             if view.bad == BAD_ENDS:
                 self.actions.append(api.Note(f"{event.server}: trial calls only"))
             # Guards against a dead, hung or cut-off server, or one that refuses at once: pauses that double.
@@ -344,9 +357,10 @@
             return False
         # Guards against a hung or slow server: set-ups pile up there no higher than this.
         bound = UNANSWERED_MS * self.pace * self.even / 1000
-        if not view.out or now - next(iter(view.out.values())) <= self.target:
+        pending = view.pending()
+        if not pending or now - pending[0] <= self.target:
             bound = max(bound, 2.0)
-        if len(view.out) >= (bound if view.bad < BAD_ENDS else 1):
+        if len(pending) >= (bound if view.bad < BAD_ENDS else 1):
             return False
         bucket = view.buckets[call.bucket]
         full = bucket.fill(now)
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -20,6 +20,7 @@
     caller_connections: int = 400  # from callers, over all fronts; they hold at most a third of the sockets
     proxy_connections: int = 64  # that ask for endpoint discovery
     server_connections: int = 8  # to one clearing server
+    spread_connections: int = 4  # of these, over which set-ups are spread
     open_calls: int = 20_000  # requests waited for at once
     kept_attempts: int = 2048  # attempts that are over and still remembered, on one connection
     kept_ids: int = 8192  # calls that are over and still remembered, to tell what comes late from the unknown
@@ -29,7 +30,7 @@
     redial_ms: float = 400.0  # between dials that only wait for news of standing calls
     guard_ms: float = 300.0  # no send of a call so long after an attempt in doubt
     answer_margin_ms: float = 8.0  # the exchange itself fails a call that is unanswered so near its end
-    silence_ms: float = 1500.0  # a clearing server that says nothing so long after a set-up is suspect
+    half_ms: float = 100.0  # a clearing server's message that is not whole so long after its first byte
     feed_silence_ms: float = 2500.0  # the feed comments each second; this much silence is a dead connection
     reload_retry_ms: float = 200.0  # between readings of a changed configuration that has a fault
     reload_for_ms: float = 2000.0  # how long these go on
--- a/sageweir/net/connection.py
+++ b/sageweir/net/connection.py
@@ -23,6 +23,7 @@
         self.transport: asyncio.Transport | None = None
         self.peer = ""
         self.heard_at = clock.now()
+        self.begun_at: float | None = None  # when the message that is not whole yet began
         self._buffer = bytearray(min(limits.read_bytes, 16 * 1024))
         self._view = memoryview(self._buffer)
 
@@ -39,6 +40,9 @@
     def opened(self) -> None:
         """Messages may be sent from now on."""
 
+    def begun(self) -> None:
+        """A message has begun to come, and is not whole."""
+
     def lost(self, reset: bool) -> None:
         """The connection is gone; reset where it broke, not where the peer closed it."""
 
@@ -64,6 +68,7 @@
         was_ready = self.wire.ready()
         data = bytes(self._view[:nbytes])
         for item in self.wire.feed(data):
+            self.begun_at = None
             if not was_ready and self.wire.ready():
                 was_ready = True
                 self._write(self.wire.replies())
@@ -80,6 +85,11 @@
         self._write(self.wire.replies())
         if not was_ready and self.wire.ready():
             self.opened()
+        if not self.wire.partial():
+            self.begun_at = None
+        elif self.begun_at is None:
+            self.begun_at = self.heard_at
+            self.begun()
         if self.wire.closed():
             self.end()
 
--- a/sageweir/net/jsonlines.py
+++ b/sageweir/net/jsonlines.py
@@ -83,6 +83,9 @@
             self._skipping = True
             self._rest.clear()
 
+    def partial(self) -> bool:
+        return bool(self._rest) or self._skipping
+
     def encode(self, message: Message) -> bytes:
         if message.kind is Kind.ERROR:  # this wire has no word for it
             return b""
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -51,10 +51,13 @@
         self.attempts: dict[str, Attempt] = {}  # by call; out, standing, or over without the server's word
         self.opened_at = self.heard_at
         self.suspect = False  # silent after a set-up: nothing more is sent here
+        self.spoilt = False  # it sent what can't be read: what else comes is not listened to
 
     def received(self, message: Message) -> None:
-        exchange, name = self.link.side.exchange, message.call
+        if self.spoilt:
+            return
         self.suspect = False
+        exchange, name = self.link.side.exchange, message.call
         report = parse_pairs(message.fields.get("load", ""))
         attempt = self.attempts.get(name)
         match message.kind:
@@ -88,6 +91,30 @@
             case _:
                 self.faulty(Fault(f"clearing servers send no {message.kind.value}", name))
 
+    def faulty(self, fault: Fault) -> None:
+        # Guards against all that waits behind a spoilt answer: after it, nothing here is of further use.
+        log.warning("%s: %s: closed: it sent what is no message: %s", self.link.name, self.peer, fault.reason)
+        self.spoilt = True
+        self.drop()
+        self.link.lost(self, False)
+
+    def begun(self) -> None:
+        self.clock.after(self.limits.half_ms, self._half)
+
+    def _half(self) -> None:
+        # Guards against an answer that stops short, or never ends, on a connection that stays open.
+        if self.transport is None or self.begun_at is None:
+            return
+        late = self.clock.now() - self.begun_at - self.limits.half_ms
+        if late >= 0:
+            self.faulty(Fault("a message that does not end"))
+        else:
+            self.clock.after(-late, self._half)
+
+    def out(self) -> int:
+        """How many set-ups are out here."""
+        return sum(attempt.state is State.OUT for attempt in self.attempts.values())
+
     def opened(self) -> None:
         self.opened_at = self.clock.now()
         self.link.opened(self)
@@ -220,9 +247,8 @@
         for attempt in attempts.values():
             if attempt.state is State.OUT:
                 self.side.exchange.ended(attempt, Ending(api.Outcome.RESET))
-        if reset and not connection.suspect:
-            # A process that dies resets its connections and cuts its calls.
-            self.cut_all("it reset its connection")
+        # A reset alone is no sign that the process died and cut its calls: single connections break too. The
+        # dial that follows tells: a process that is gone refuses it.
         if self.state is api.ServerState.IN_SERVICE or self.standing:
             # Guards against a server that takes connections and drops them: no dial after dial.
             if self.side.clock.now() - self.dialed_at >= self.side.limits.redial_ms:
@@ -233,11 +259,14 @@
     # Attempts
 
     def place(self, attempt: Attempt) -> None:
-        """Send on the oldest sound connection that has no word outstanding on this call, else dial."""
+        """Send on the least busy sound connection with no word outstanding on this call, else dial."""
         name = attempt.request.call
-        for connection in self.connections:
-            if connection.up and not connection.suspect and name not in connection.attempts \
-                    and not connection.unsent() and connection.place(attempt):
+        sound = [c for c in self.connections if c.up and not c.suspect]
+        for connection in sorted(sound, key=ServerConnection.out):
+            # Guards against many set-ups that go down with one connection: they are spread over a few.
+            if connection.out() and len(sound) < self.side.limits.spread_connections:
+                self.dial()
+            if name not in connection.attempts and not connection.unsent() and connection.place(attempt):
                 return
         self.queue.append(attempt)
         self.dial()
@@ -250,15 +279,16 @@
         if attempt in self.queue:  # never sent
             self.queue.remove(attempt)
             return
-        limits, now = self.side.limits, self.side.clock.now()
+        now = self.side.clock.now()
         for connection in list(self.connections):
             if connection.attempts.get(attempt.request.call) is attempt:
                 connection.say(Message(Kind.RELEASE, attempt.request.call, cause=Cause.NORMAL))
-                silent = now - max(connection.heard_at, attempt.sent_at)
-                if not connection.suspect and connection.heard_at <= attempt.sent_at \
-                        and silent >= limits.silence_ms:
-                    # Guards against a vanished machine: its old connections stay open and silent for good.
-                    log.info("%s: silent for %.0f ms, a new connection is dialled", self.name, silent)
+                timed_out = now - attempt.sent_at >= attempt.timeout_ms
+                if timed_out and not connection.suspect and connection.heard_at <= attempt.sent_at:
+                    # Guards against a vanished machine, and a connection that only looks open: both stay
+                    # silent for good. Nothing heard while an attempt lasted is enough to look elsewhere.
+                    log.info("%s: silent for %.0f ms, a new connection is dialled", self.name,
+                             now - attempt.sent_at)
                     connection.suspect = True
                     self.dial()
                 if connection.suspect:
--- a/sageweir/net/websocket.py
+++ b/sageweir/net/websocket.py
@@ -92,6 +92,9 @@
                 self._parts.clear()
                 yield kind, whole
 
+    def partial(self) -> bool:
+        return bool(self._rest) or self._opcode != CONTINUATION
+
     def _next(self) -> tuple[bool, int, bytes] | None:
         rest = self._rest
         if len(rest) < 2:
@@ -175,6 +178,9 @@
             self.phase = Phase.CLOSED
             yield Fault(f"closed with {error.code}: {error.reason}")
 
+    def partial(self) -> bool:
+        return self.phase is Phase.HANDSHAKE or self._frames.partial()
+
     def encode(self, message: Message) -> bytes:
         text = callapi.encode(message)
         return self._frame(TEXT, text) if text else b""
--- a/sageweir/net/wire.py
+++ b/sageweir/net/wire.py
@@ -17,6 +17,9 @@
     def feed(self, data: bytes | memoryview) -> Iterator[Message | Fault]:
         """Take bytes; give what is whole. What is no message is a Fault, and the next one follows."""
 
+    def partial(self) -> bool:
+        """Whether a message has begun to come and is not whole."""
+
     def encode(self, message: Message) -> bytes:
         """One message in the wire's form."""
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -4,7 +4,8 @@
     c< answer A                     the next message that the caller gets
     s0> answer A                    a clearing server sends, on its newest connection (s0/0: on its first)
     s0< setup A                     the next message that a clearing server gets
-    c: close | s0: close | s0: reset | s0: vanish | s0: return
+    c: close | s0: close | s0: reset | s0: break | s0: vanish | s0: return
+    s0: noise | s0: half | s0: deaf  bytes that are no message; a message that stops short; no more is heard
     list s0 DRAINING [started=MS]   the control feed's word
     wait 300                        so many ms pass on the test clock
     c: quiet | s0: quiet            all has settled, and nothing more has come
@@ -38,6 +39,7 @@
          "test": Kind.TEST, "tested": Kind.TESTED, "status": Kind.STATUS, "progress": Kind.PROGRESS,
          "refusal": Kind.REFUSAL, "failure": Kind.FAILURE}
 NAMES = {kind: word for word, kind in WORDS.items()}
+NOISE = {"noise": (b"\x00\xf3}{\n", b"\xf3\x00"), "half": (b'{"msg":"ready","sid":"aa', b"\x81\x7e\x04")}
 PATIENCE_S = 5.0  # real time after which a message that should come is given up: no verdict hangs on less
 
 
@@ -177,10 +179,16 @@
             assert not home.got, f"{name} got {home.got}"
         elif verb == "close":
             home.peers[-1].end()
-        elif verb == "reset":  # as a process that dies
-            if home.server is not None:
+        elif verb == "deaf":
+            home.peers[-1].deaf = True
+        elif verb in NOISE:
+            transport = home.peers[-1].transport
+            assert transport is not None
+            transport.write(NOISE[verb][self.transport != "lines"])
+        elif verb in ("reset", "break"):  # as a process that dies; as one connection that breaks
+            if home.server is not None and verb == "reset":
                 home.server.close()
-            for peer in list(home.peers):
+            for peer in home.peers[:] if verb == "reset" else home.peers[-1:]:
                 assert peer.transport is not None
                 sock: socket.socket = peer.transport.get_extra_info("socket")
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -125,9 +125,79 @@
         s0> answer A
         c< answer A
         s0: reset
+        wait 400                     # the dial that follows is refused
         c< release A cause=41
         s1: quiet
     """,
+    "a connection that is reset alone cuts no call": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        s0: break
+        wait 500
+        c: quiet
+        s0> release A cause=16       # on the connection that was dialled anew
+        c< release A cause=16
+    """,
+    "a spoilt answer ends its connection, and all that waited on it is sent again": """
+        c> setup A
+        s0< setup A at=0
+        wait 100
+        s0/0> answer A text=one
+        c< answer A text=one
+        c> setup B
+        s0< setup B at=100
+        s0: noise
+        c: quiet
+        wait 490
+        s0: quiet
+        wait 40
+        s0< setup B at=600           # after the guard, on a new connection
+        s0> answer B text=two
+        c< answer B text=two
+        s0> release A cause=16       # and what stood there stands
+        c< release A cause=16
+    """,
+    "an answer that stops short ends its connection": """
+        c> setup A
+        s0< setup A at=0
+        s0: half
+        wait 90
+        c: quiet
+        wait 520
+        s0< setup A at=600
+        s0> answer A text=x
+        c< answer A text=x
+    """,
+    "set-ups are spread over connections, and one that falls silent is replaced": """
+        c> setup A left=9000
+        s0< setup A
+        wait 10
+        c> setup B left=9000
+        s0< setup B at=10            # on the first still; a second is dialled
+        wait 10
+        s0/0> answer B
+        c< answer B
+        c> setup D left=9000
+        s0< setup D at=20
+        s0/1> answer D               # this one went over the second
+        c< answer D
+        wait 2000
+        s0< release A at=1950
+        c< release A
+    """,
+    "a connection on which nothing is heard while an attempt lasts is given up": """
+        s0: deaf
+        c> setup A left=1000
+        wait 1000
+        c< release A at=985
+        wait 6000
+        c> setup B key=n2
+        s0< setup B                  # on another one
+        s0> answer B
+        c< answer B
+    """,
     "a refused dial proves that nothing ran": """
         c> setup A dest=1
         s1< setup A
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -177,6 +177,30 @@
     assert view(gateway).current > 0
 
 
+def test_what_a_later_answer_has_overtaken_is_no_sample_and_holds_no_place() -> None:
+    gateway = Gateway([A])
+    gateway.call("spoilt")
+    gateway.wait(100.0)
+    gateway.call("later")
+    gateway.wait(20.0)
+    gateway.answer("later", "a")
+    gateway.wait(1000.0)
+    gateway.end("spoilt", "a", api.Outcome.TIMED_OUT, took_ms=1120.0)
+    seen = view(gateway)
+    assert seen.current == 0 and seen.bad == 0 and seen.closed_until < gateway.now
+
+
+def test_a_connection_that_breaks_early_is_no_sign_of_delay_and_three_in_a_row_are_of_trouble() -> None:
+    gateway = Gateway([A])
+    for i in range(3):
+        gateway.wait(100.0)
+        gateway.call(f"x{i}")
+        gateway.wait(30.0)  # behind those that wait for their guard, a call goes on the next tick
+        gateway.end(f"x{i}", "a", api.Outcome.RESET, took_ms=50.0)
+        assert (view(gateway).closed_until > gateway.now) == (i == 2)
+        assert bool(view(gateway).samples) == (i == 2)
+
+
 def test_a_report_bounds_the_rate_by_this_gateways_part() -> None:
     gateway = Gateway([A])
     gateway.tell(api.ServerReport("a", 20.0))
