Give every bad caller a refusal or a close, and no server a request that can't be meant

Checked with the message trace of one controller: 149 connections sent what is no message, and JsonLines.encode wrote nothing for Kind.ERROR; 389 said nothing, or half a line, and were closed only when the table was full, after 2.5 s at the median and 10 s at most; 35 used the id of another's open call and got nothing. Set-ups with left=-5, 1e23, dest:nan, width:0 or extras 'x' were taken; servers answered them 'error', which the module took for a reason to try again. Ruled out: the usual callers, who hold four connections and were told all; the 577 connections that asked once and stayed, which are no bad clients.

At fault: net/jsonlines.py (no word for ERROR), net/callers.py (read_request, received, opened), dahliabridge/brain.py (ERROR not final).

Now: figures are checked; a bad message gets a failure where its id can be read, else an error where the wire has one, else a close, and 20 in a row a close; what is open there is answered before. Who says nothing whole within 2 s is closed, and who has no call and says nothing for 10 s; a call that stands keeps its connection. In a flood those that never spoke are closed first, those that had a call last. 'error' from a server is final. Lines of the log are limited by kind: a flood cost 8,739 in 27 s.

--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -44,7 +44,7 @@
 STALL_MS = 100.0  # an own timer so late shows that this gateway stood still
 CONTROL_TIMER, WAIT_TIMER = 1, 2
 BAD = (api.Outcome.TIMED_OUT, api.Outcome.CONNECT_FAILED, api.Outcome.RESET, api.Outcome.FULL)
-FINAL = (api.Outcome.NUMBER_BUSY, api.Outcome.NOT_SENT, api.Outcome.CANCELLED)
+FINAL = (api.Outcome.NUMBER_BUSY, api.Outcome.ERROR, api.Outcome.NOT_SENT, api.Outcome.CANCELLED)
 IN_DOUBT = (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED)
 
 
--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -18,6 +18,7 @@
 from sageweir.net.websocket import WebSocket
 from sageweir.net.wire import Wire
 from sageweir.net.xds import Discovery, DiscoveryConnection
+from sageweir.quiet import RateLimit
 from sageweir.reload import Reloader
 
 log = logging.getLogger("sageweir")
@@ -74,6 +75,8 @@
 def main() -> int:
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, datefmt="%H:%M:%S",
                         format="%(asctime)s.%(msecs)03d %(levelname)s %(name)s %(message)s")
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(RateLimit())
     try:
         config = load()
     except ConfigError as error:
--- a/sageweir/config.py
+++ b/sageweir/config.py
@@ -188,6 +188,7 @@
         guard_ms=settings.release_guard_ms,
         open_calls=_get(caps, "open_cap", int, "settings.caps.", base.open_calls),
         stop_standing_ms=max(c.deadline_ms for c in settings.classes),
+        max_left_ms=10 * max(c.deadline_ms for c in settings.classes),
     )
     known = _get(raw, "known", dict, "", {"n": 0, "events": []})
     events = tuple(read_event(event, f"known.events[{i}]")
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -278,6 +278,10 @@
                                     request.key, was_cut=request.was_cut))
         return True
 
+    def fail(self, name: str) -> None:
+        """Answer a request that can't be served to its end, as its connection is about to be closed."""
+        self._give_up_on(name)
+
     def give_up(self, name: str, cause: int = Cause.NORMAL) -> bool:
         """The caller ends a call, before or after its answer; False where no such call is open."""
         call = self.calls.get(name)
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -17,6 +17,7 @@
     head_bytes: int = 16 * 1024  # an HTTP head
     # Counts
     max_attempts: int = 6  # set-ups of one call
+    caller_faults: int = 20  # bad messages in a row, after which a caller's connection is closed
     caller_connections: int = 400  # from callers, over all fronts; they hold at most a third of the sockets
     proxy_connections: int = 64  # that ask for endpoint discovery
     server_connections: int = 8  # to one clearing server
@@ -26,7 +27,10 @@
     kept_ids: int = 8192  # calls that are over and still remembered, to tell what comes late from the unknown
     # Times
     dial_ms: float = 500.0  # a connection that is not up by then has failed
-    handshake_ms: float = 2000.0  # an HTTP head that has not come whole by then ends its connection
+    sweep_ms: float = 250.0  # between looks at callers' connections
+    first_word_ms: float = 2000.0  # a caller that has said nothing whole by then has its connection closed
+    caller_half_ms: float = 2000.0  # a caller's message that is not whole so long after its first byte
+    idle_ms: float = 10_000.0  # a caller's connection with no call on it; callers close theirs after 4 s
     redial_ms: float = 400.0  # between dials that only wait for news of standing calls
     guard_ms: float = 300.0  # no send of a call so long after an attempt in doubt
     answer_margin_ms: float = 8.0  # the exchange itself fails a call that is unanswered so near its end
@@ -42,4 +46,5 @@
     gone_silence_ms: float = 2000.0  # calls at a server that is gone from the list and silent so long are cut
     stop_open_ms: float = 800.0  # connections and requests are still taken so long after SIGTERM
     stop_standing_ms: float = 9000.0  # and calls that stand are waited for so long
+    max_left_ms: float = 90_000.0  # the longest time that a caller may wait for an answer
     linger_ms: float = 1000.0  # the peer's close is awaited so long after ours (WebSocket)
--- a/sageweir/messages.py
+++ b/sageweir/messages.py
@@ -56,6 +56,7 @@
     reason: str
     call: str = ""
     set_up: bool = False  # it would have been a set-up, so an answer is owed
+    last: bool = False  # the wire closes after it; messages may still be sent before
 
 
 def parse_pairs(text: str) -> dict[str, float]:
--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable
 
 from sageweir.clock import Clock
@@ -17,7 +16,11 @@
 log = logging.getLogger("sageweir.callers")
 
 
-def read_request(message: Message) -> Request | str:
+# What the figures of a set-up may be; others are carried and not looked at.
+EXTRAS = {"dest": (-1.0, 65535.0), "width": (1.0, 64.0), "via": (-1.0, 65535.0), "again": (0.0, 1.0)}
+
+
+def read_request(message: Message, max_left_ms: float) -> Request | str:
     """A set-up's fields; a text where they are not a set-up."""
     service_class = message.fields.get("class", "")
     if not service_class:
@@ -26,12 +29,18 @@
         left_ms = float(message.fields["left"])
     except (KeyError, ValueError):
         return f"'left' must be milliseconds, got {message.fields.get('left')!r}"
-    if not math.isfinite(left_ms):
-        return f"'left' must be milliseconds, got {left_ms!r}"
-    extras = parse_pairs(message.fields.get("extras", ""))
-    dest = extras.get("dest", -1.0)
+    if not 0 <= left_ms <= max_left_ms:  # nor what is no number
+        return f"'left' must be from 0 to {max_left_ms:.0f} milliseconds, got {left_ms!r}"
+    text = message.fields.get("extras", "")
+    extras = parse_pairs(text)
+    if text and len(extras) != len(text.strip(";").split(";")):
+        return f"'extras' must be figures, got {text!r:.60}"
+    for name, (least, most) in EXTRAS.items():
+        figure = extras.get(name, least)
+        if not (least <= figure <= most and figure.is_integer()):
+            return f"'extras': '{name}' must be a whole number from {least:.0f} to {most:.0f}, got {figure!r}"
     return Request(message.call, service_class, left_ms, message.fields.get("key", ""),
-                   int(dest) if abs(dest) < 1e9 else -1, extras.get("again", 0.0) == 1.0, message.description)
+                   int(extras.get("dest", -1.0)), extras.get("again", 0.0) == 1.0, message.description)
 
 
 class CallerConnection(Connection):
@@ -41,21 +50,31 @@
         super().__init__(side.clock, side.limits, wire)
         self.side = side
         self.open: set[str] = set()  # set-ups that came here and are not answered
+        self.standing: set[str] = set()  # calls that were answered here and stand
+        self.spoke, self.served = False, False  # has sent a whole message; had a call that stood
+        self.faults = 0  # bad messages since the last good one
 
     def received(self, message: Message) -> None:
+        self.spoke = True
         match message.kind:
             case Kind.SET_UP:
-                request = read_request(message)
+                request = read_request(message, self.limits.max_left_ms)
                 if isinstance(request, str):
                     self.faulty(Fault(request, message.call, True))
-                else:
-                    # Guards against a set-up that comes twice: the first one stays open here.
-                    fresh = request.call not in self.open
-                    self.open.add(request.call)
-                    if not self.side.exchange.take(request, self) and fresh:
+                    return
+                # Guards against a set-up that comes twice: the first one stays open here, and is answered.
+                fresh = request.call not in self.open
+                self.open.add(request.call)
+                if not self.side.exchange.take(request, self):
+                    if fresh:
                         self.open.discard(request.call)
+                        # Guards against silence towards a caller that takes the id of another's open call.
+                        self.faulty(Fault("this id is in use", message.call, True))
+                    return
+                self.faults = 0
             case Kind.RELEASE:
                 self.open.discard(message.call)
+                self.standing.discard(message.call)
                 self.side.exchange.give_up(message.call, message.cause or Cause.NORMAL)
                 self.say(Message(Kind.HEARD, message.call))
             case Kind.TEST:
@@ -68,20 +87,49 @@
     def faulty(self, fault: Fault) -> None:
         """Refuse what is no message; a set-up whose id can be read is owed an answer all the same."""
         log.warning("%s: refused: call %s: %s", self.peer, fault.call or "unknown", fault.reason)
-        if fault.set_up and fault.call and fault.call not in self.side.exchange.calls:
-            self.say(Message(Kind.FAILURE, fault.call, {"reason": fault.reason}, Cause.MALFORMED))
+        self.faults += 1
+        if fault.last:
+            self.answer_all()
+            return
+        if fault.call in self.open:
+            told = True  # the first set-up with this id is still owed its answer, and that will do
+        elif fault.set_up and fault.call:
+            told = self.say(Message(Kind.FAILURE, fault.call, {"reason": fault.reason}, Cause.MALFORMED))
         else:
-            self.say(Message(Kind.ERROR, fault.call, {"reason": fault.reason}))
+            said = self.say(Message(Kind.ERROR, fault.call, {"reason": fault.reason}))
+            told = said and self.wire.says_errors
+        if not told or self.faults >= self.limits.caller_faults:
+            # Guards against a bad caller that is left without a word: where the wire has none, this closes.
+            self.finish("bad messages")
+
+    def finish(self, reason: str) -> None:
+        """Close; what is open here is answered first, and calls that stand go on."""
+        self.answer_all()
+        self.end(reason)
+
+    def answer_all(self) -> None:
+        for call in list(self.open):
+            self.side.exchange.fail(call)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.side.opened(self)
-        if not self.wire.ready():
-            # Guards against a peer that connects and never ends its handshake.
-            self.clock.after(self.limits.handshake_ms, lambda: None if self.wire.ready() else self.drop())
+
+    def sweep(self, now: float) -> None:
+        """Close what has had its time; called now and then."""
+        # Guards against callers that connect and say nothing, or half of something, and keep descriptors.
+        limits = self.limits
+        if not self.spoke and now - self.opened_at >= limits.first_word_ms:
+            self.finish("nothing was said")
+        elif self.begun_at is not None and now - self.begun_at >= limits.caller_half_ms:
+            log.warning("%s: closed: a message that does not end", self.peer)
+            self.finish("a message that does not end")
+        elif not self.open and not self.standing and now - self.heard_at >= limits.idle_ms:
+            self.finish("idle")
 
     def lost(self, reset: bool) -> None:
         self.side.connections.pop(self, None)
+        self.standing.clear()
         for call in list(self.open):  # nobody can be answered any more
             self.side.exchange.give_up(call)
         self.open.clear()
@@ -90,7 +138,11 @@
 
     def answer(self, call: str, description: str | None) -> bool:
         self.open.discard(call)
-        return self.say(Message(Kind.ANSWER, call, description=description))
+        if not self.say(Message(Kind.ANSWER, call, description=description)):
+            return False
+        self.standing.add(call)
+        self.served = True
+        return True
 
     def refuse(self, call: str, wait_ms: float) -> bool:
         self.open.discard(call)
@@ -103,6 +155,7 @@
 
     def release(self, call: str, cause: int) -> bool:
         message = Message(Kind.RELEASE, call, cause=cause)
+        self.standing.discard(call)
         if self.say(message):
             return True
         # A call that stands belongs to no connection: any other of the same caller will do, newest first.
@@ -118,6 +171,15 @@
         self.clock, self.limits, self.exchange = clock, limits, exchange
         self.connections: dict[CallerConnection, None] = {}
         self.listeners: list[asyncio.Server] = []
+        self._closed = False
+        self._sweep()
+
+    def _sweep(self) -> None:
+        if not self._closed:
+            now = self.clock.now()
+            for connection in list(self.connections):
+                connection.sweep(now)
+            self.clock.after(self.limits.sweep_ms, self._sweep)
 
     async def listen(self, host: str, port: int, wire: Callable[[], Wire]) -> int:
         """Listen with a wire; the port."""
@@ -128,17 +190,19 @@
         return int(server.sockets[0].getsockname()[1])
 
     def opened(self, connection: CallerConnection) -> None:
-        """Keep the number of connections in bounds: the one idle longest goes."""
+        """Keep the number of connections in bounds: who has said nothing goes first, then the idle."""
         self.connections[connection] = None
         if len(self.connections) > self.limits.caller_connections:
-            idle = [c for c in self.connections if not c.open and c is not connection]
-            victim = min(idle, key=lambda c: c.heard_at, default=connection)
+            # Guards against a flood of connections that pushes good callers out: who had a call goes last.
+            idle = [c for c in self.connections if not c.open and not c.standing and c is not connection]
+            victim = min(idle, key=lambda c: (c.served, c.spoke, c.heard_at), default=connection)
             log.warning("%s: closed, %d connections are open", victim.peer, len(self.connections))
             victim.end("too many connections")
             self.connections.pop(victim, None)
 
     def close(self) -> None:
         """Stop listening and end what is open."""
+        self._closed = True
         for server in self.listeners:
             server.close()
         self.listeners.clear()
--- a/sageweir/net/connection.py
+++ b/sageweir/net/connection.py
@@ -23,6 +23,7 @@
         self.transport: asyncio.Transport | None = None
         self.peer = ""
         self.heard_at = clock.now()
+        self.opened_at = self.heard_at
         self.begun_at: float | None = None  # when the message that is not whole yet began
         self._buffer = bytearray(min(limits.read_bytes, 16 * 1024))
         self._view = memoryview(self._buffer)
@@ -55,7 +56,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.heard_at = self.clock.now()
+        self.heard_at = self.opened_at = self.clock.now()
         self._write(self.wire.greeting())
         if self.wire.ready():
             self.opened()
@@ -68,6 +69,8 @@
         was_ready = self.wire.ready()
         data = bytes(self._view[:nbytes])
         for item in self.wire.feed(data):
+            if self.transport is None or self.transport.is_closing():
+                break  # closed over what came before
             self.begun_at = None
             if not was_ready and self.wire.ready():
                 was_ready = True
--- a/sageweir/net/jsonlines.py
+++ b/sageweir/net/jsonlines.py
@@ -56,6 +56,8 @@
 class JsonLines:
     """Lines in, messages out; a line that is too long is skipped up to its end."""
 
+    says_errors = False
+
     def __init__(self, max_bytes: int) -> None:
         self._max, self._rest, self._skipping = max_bytes, bytearray(), False
 
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -49,7 +49,6 @@
         super().__init__(link.side.clock, link.side.limits, wire)
         self.link = link
         self.attempts: dict[str, Attempt] = {}  # by call; out, standing, or over without the server's word
-        self.opened_at = self.heard_at
         self.suspect = False  # silent after a set-up: nothing more is sent here
         self.spoilt = False  # it sent what can't be read: what else comes is not listened to
 
--- a/sageweir/net/websocket.py
+++ b/sageweir/net/websocket.py
@@ -133,6 +133,8 @@
 class WebSocket:
     """One connection's wire: the handshake, then one call-control message in each text message."""
 
+    says_errors = True
+
     def __init__(self, max_bytes: int, head_bytes: int, path: str, client_host: str = "",
                  random_bytes: Callable[[int], bytes] = os.urandom) -> None:
         """The client's role where client_host is given, else the server's."""
@@ -173,10 +175,11 @@
                 if self.phase is Phase.CLOSED:
                     return
         except CloseError as error:
+            # Told before the close is sent: what is still open here can be answered first.
+            yield Fault(f"closed with {error.code}: {error.reason}", last=True)
             if self.phase is Phase.OPEN:
                 self._owed += self._close(error.code, error.reason)
             self.phase = Phase.CLOSED
-            yield Fault(f"closed with {error.code}: {error.reason}")
 
     def partial(self) -> bool:
         return self.phase is Phase.HANDSHAKE or self._frames.partial()
--- a/sageweir/net/wire.py
+++ b/sageweir/net/wire.py
@@ -11,6 +11,8 @@
 class Wire(Protocol):
     """A parser that is fed bytes as they come, and the writer that goes with it."""
 
+    says_errors: bool  # whether it has a word for Kind.ERROR
+
     def greeting(self) -> bytes:
         """What this side sends before its first message."""
 
--- a/sageweir/pcap.py
+++ b/sageweir/pcap.py
@@ -187,7 +187,7 @@
         if isinstance(item.message, Fault):
             refused(item)
         elif item.message.kind is Kind.SET_UP:
-            request = read_request(item.message)
+            request = read_request(item.message, exchange.limits.max_left_ms)
             if isinstance(request, str) or not exchange.take(request, caller):
                 refused(item)
             else:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,7 @@
     list s0 DRAINING [started=MS]   the control feed's word
     wait 300                        so many ms pass on the test clock
     c: quiet | s0: quiet            all has settled, and nothing more has come
+    c: connect | c: open | c: closed  a connection that says nothing; whether one is open
 
 Calls are letters. What is expected may add fields: cause=42, text=..., at=MS (test clock), wait=MS, left=MS.
 """
@@ -175,16 +176,22 @@
     async def do(self, name: str, verb: str) -> None:
         home = await self.caller(name) if name[0] == "c" else self.stand_ins[name]
         await self.settle()
-        if verb == "quiet":
+        if verb == "connect":
+            pass
+        elif verb == "quiet":
             assert not home.got, f"{name} got {home.got}"
         elif verb == "close":
             home.peers[-1].end()
         elif verb == "deaf":
             home.peers[-1].deaf = True
+        elif verb in ("open", "closed"):
+            assert bool(home.peers) == (verb == "open"), f"{name} has {len(home.peers)} connections"
         elif verb in NOISE:
             transport = home.peers[-1].transport
             assert transport is not None
-            transport.write(NOISE[verb][self.transport != "lines"])
+            bits = NOISE[verb][self.transport != "lines"]
+            masked = self.transport != "lines" and name[0] == "c"  # as a WebSocket client's frames are
+            transport.write(bytes([bits[0], bits[1] | 0x80, *bits[2:]]) if masked else bits)
         elif verb in ("reset", "break"):  # as a process that dies; as one connection that breaks
             if home.server is not None and verb == "reset":
                 home.server.close()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -292,8 +292,11 @@
         c> setup B
         s0< setup B
         c2> setup B
+        c2< release B cause=95       # on its own connection it is told so
+        c> setup B                   # and here the first is answered
         s0> answer B
         c< answer B
+        c: quiet
         c2: quiet
         s1: quiet
     """,
@@ -307,6 +310,58 @@
         c< tested F cause=1
         s0: quiet
     """,
+    "what is no message gets a word or a close, and what was open is answered first": """
+        c> setup A
+        s0< setup A
+        c> setup B left=-5
+        c< release B cause=95
+        c> setup D left=1e15
+        c< release D cause=95
+        c> setup E extras=dest:-3
+        c< release E cause=95
+        c> setup A left=-5
+        c: quiet
+        c: noise
+        c< release A cause=41
+        c: closed
+        s0< release A cause=16
+    """,
+    "who says nothing, or half of something, is closed; who asked once may stay, but not for good": """
+        c: connect
+        c2: half
+        c3> test A
+        c3< tested A cause=1
+        wait 1000
+        c: open
+        c2: open
+        wait 1300
+        c: closed
+        c2: closed
+        c3: open
+        wait 8000
+        c3: closed
+    """,
+    "a caller with a call that stands is not idle": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        wait 30000
+        c: open
+        s0> release A cause=16
+        c< release A cause=16
+        wait 10300
+        c: closed
+    """,
+    "what a server can't use is not sent again": """
+        c> setup A
+        s0< setup A
+        s0> release A cause=47
+        c< release A cause=41
+        wait 1000
+        s0: quiet
+        s1: quiet
+    """,
     "a set-up that comes twice on a socket that then closes: its attempt is cancelled": """
         c> setup A
         s0< setup A
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import struct
 from collections.abc import Callable
 from typing import Any
@@ -10,11 +11,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sageweir.exchange import Request
 from sageweir.messages import Fault, Kind, Message
 from sageweir.net import callapi
 from sageweir.net import websocket as ws
+from sageweir.net.callers import read_request
 from sageweir.net.http import Chunks, EventStream, HeadReader, HttpError
 from sageweir.net.jsonlines import JsonLines
+from sageweir.quiet import RateLimit
 
 ID = "9b1f03aa5c7e2d41"
 KEY = b"\x01\x02\x03\x04"
@@ -216,3 +220,24 @@
 def test_the_api_says_what_is_wrong(text: str, reason: str) -> None:
     fault = callapi.decode(text)
     assert isinstance(fault, Fault) and reason in fault.reason
+
+
+@pytest.mark.parametrize(("field", "value"), [
+    ("left", "soon"), ("left", ""), ("left", "-5"), ("left", "nan"), ("left", "99999999999999999999999"),
+    ("class", ""), ("extras", "x"), ("extras", "dest:nan;width:1"), ("extras", "dest:-3;width:1"),
+    ("extras", "dest:0;width:0"), ("extras", "dest:0;width:400"), ("extras", "dest:0;width:1.5"),
+])
+def test_a_set_up_with_figures_that_cannot_be_meant_is_none(field: str, value: str) -> None:
+    good = {"class": "plain", "left": "3000", "key": "n", "extras": "dest:0;width:1;via:-1"}
+    assert isinstance(read_request(Message(Kind.SET_UP, "a" * 16, good), 90_000.0), Request)
+    assert isinstance(read_request(Message(Kind.SET_UP, "a" * 16, good | {field: value}), 90_000.0), str)
+
+
+def test_a_flood_does_not_fill_the_log() -> None:
+    limit, passed = RateLimit(lines=3, seconds=1.0), list[str]()
+    for i in range(100):
+        record = logging.LogRecord("x", logging.WARNING, "", 0, "refused: %d", (i,), None)
+        record.created = 50.0 if i < 99 else 51.0
+        if limit.filter(record):
+            passed.append(record.getMessage())
+    assert passed == ["refused: 0", "refused: 1", "refused: 2", "refused: 99 (and 96 like it before)"]
