Blame a server that errs on most calls, and choose it last; a sound one's error stays final

Checked with the message trace: from 1 to 10 s one clearing server, s-, answered 'error' on 80 % of what it got, within 7 ms and with a report of 'nothing to hold back'; the other erred on none. As it answered some calls well and quickly, all routing went on preferring it (235 to 286 set-ups a second to it, 2 to 16 to the other). Ruled out: the reload itself (no attempt is lost around SIGHUP), the requests (they stood elsewhere).

Now the module keeps a smoothed share of errors for each server. Above 0.3 the errors are taken for the server's own: its calls are tried again, and it is chosen after all others. Below it an error is the call's and final, so floods of calls that no server can use are not sent round.

--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -30,6 +30,7 @@
 # Routing and guards
 LATE_SKIP_MS, SKIP_MAX_MS, GAP_MAX = 250.0, 4000.0, 16.0  # skip (DESIGN), longest; pause in skips
 BAD_ENDS = 3  # bad ends in a row before only trial calls go
+ERROR_WEIGHT, ERRING = 0.2, 0.3  # weight of one answer in a server's share of errors; share that blames it
 UNANSWERED_MS = 750.0  # time of own even sends that may be unanswered, or two while none is over target
 COLD_PART, FALL_PART = 0.8, 0.6  # of its ramp that a cold server is sent; of the fourth rule's budget
 UNEVEN = 3.0  # servers may be so much smaller than the mean; the rule's multiple forgives it
@@ -44,7 +45,7 @@
 STALL_MS = 100.0  # an own timer so late shows that this gateway stood still
 CONTROL_TIMER, WAIT_TIMER = 1, 2
 BAD = (api.Outcome.TIMED_OUT, api.Outcome.CONNECT_FAILED, api.Outcome.RESET, api.Outcome.FULL)
-FINAL = (api.Outcome.NUMBER_BUSY, api.Outcome.ERROR, api.Outcome.NOT_SENT, api.Outcome.CANCELLED)
+FINAL = (api.Outcome.NUMBER_BUSY, api.Outcome.NOT_SENT, api.Outcome.CANCELLED)
 IN_DOUBT = (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED)
 
 
@@ -96,9 +97,14 @@
         self.out: dict[tuple[str, int], float] = {}  # unanswered attempts: when sent
         self.closed_until, self.bad = -inf, 0
         self.run_at = now  # when a run last held a sample
+        self.errors = 0.0  # smoothed share of errors among its answers
         self.passed = -inf  # when the latest sent of all answered attempts was sent
         self.cold = Bucket(now, 0.0)  # of all classes while the server is cold
 
+    def erring(self) -> bool:
+        """Errors are so many that they are the server's own, not those of the calls."""
+        return self.errors > ERRING
+
     def told(self, max_rate: float | None, hold_back: float | None) -> None:
         self.max_rate = self.max_rate if max_rate is None else max_rate
         self.hold_back = self.hold_back if hold_back is None else hold_back
@@ -254,6 +260,7 @@
             delay = event.took_ms - min(view.floor, self.target)
             view.samples.append(delay)
             view.bad, call = 0, self.calls.get(event.call)
+            view.errors *= 1 - ERROR_WEIGHT
             if delay > self.targets[call.index if call else 0]:
                 view.closed_until = max(view.closed_until, now + self.skip_ms)
             else:
@@ -280,7 +287,9 @@
         # The fifth rule: what an attempt in doubt held may stay taken until the release time is over.
         call.ready_at = now + (self.settings.release_guard_ms if event.outcome in IN_DOUBT else 0.0)
         call.out, self.waiting[event.call] = False, call
-        over = event.outcome in FINAL or call.attempts >= self.settings.max_attempts
+        # Guards against calls that no server can use, sent to each in turn: a sound server's word counts.
+        unusable = event.outcome is api.Outcome.ERROR and not (view and view.erring())
+        over = event.outcome in FINAL or unusable or call.attempts >= self.settings.max_attempts
         if over or call.ready_at >= self.latest(call):  # at once: after an own stall its time may be up
             self.finish(call, now, failed=True)
 
@@ -303,6 +312,7 @@
             view.closed_until = max(view.closed_until, now + max(gap, event.told_wait_ms))
         elif event.outcome in (api.Outcome.NUMBER_BUSY, api.Outcome.ERROR):
             view.bad = 0
+            view.errors += ERROR_WEIGHT * ((event.outcome is api.Outcome.ERROR) - view.errors)
 
     def forget(self, name: str) -> CallState | None:
         self.waiting.pop(name, None)
@@ -343,14 +353,14 @@
         return min(call.aim_at - self.targets[call.index], call.ends_at)
 
     def route(self, call: CallState, now: float) -> ServerView | None:
-        """First choice, else the last that answered well, else the next in turn."""
+        """First choice, else the last that answered well, else the next in turn; those that err come last."""
         allowed = self.settings.classes[call.index].allowed
         views = [v for v in self.servers.values() if allowed is None or v.entry.number in allowed]
         self.turn += 1
         start = self.turn % max(1, len(views))
         order = [v for v in views if v.entry.number == call.request.first_choice]
         order += [v for v in views if v.entry.name == self.last_good] + views[start:] + views[:start]
-        return next((v for v in order if self.open(v, call, now)), None)
+        return next((v for v in sorted(order, key=ServerView.erring) if self.open(v, call, now)), None)
 
     def open(self, view: ServerView, call: CallState, now: float) -> bool:
         if not view.listed() or view.closed_until > now:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -201,6 +201,19 @@
         assert bool(view(gateway).samples) == (i == 2)
 
 
+def test_a_sound_servers_error_is_final_and_an_erring_servers_is_tried_elsewhere() -> None:
+    gateway = Gateway([A, B])
+    for i in range(2):
+        gateway.call(f"x{i}")
+        gateway.end(f"x{i}", "a", api.Outcome.ERROR)
+        gateway.wait(30.0)
+    sent = [send.call + send.server for _, send in gateway.sends()]
+    assert sent == ["x0a", "x1a", "x1b"]
+    assert gateway.finals("x0") == [api.Fail("x0")] and not gateway.finals("x1")
+    gateway.end("x1", "b", api.Outcome.ERROR, attempt=1)  # b is sound: the call is at fault
+    assert gateway.finals("x1") == [api.Fail("x1")]
+
+
 def test_a_report_bounds_the_rate_by_this_gateways_part() -> None:
     gateway = Gateway([A])
     gateway.tell(api.ServerReport("a", 20.0))
