Bound a stalled stream to two responses; mend figures that no run had shown

Cause: the note said that a slow reader costs one response, as the write would wait. Measured: gRPC took eight responses for a proxy that read none, and the write never waited. So only the proxy's ACK can bound it.

Change: two unconfirmed responses of a type in place of eight; heartbeats no longer count, so that they hold no drain back.

Seen: the stream, decision and gRPC tests pass (71). Open, in the roadmap: a write that waits, the drain and fan-out figures with the new bound.

--- a/sageweir/control/encoding.py
+++ b/sageweir/control/encoding.py
@@ -41,7 +41,7 @@
 
 
 def _encode_endpoints(body: Mapping[str, Any]) -> bytes:
-    """Endpoints are long and change often: 200 take 20 ms by json_format and 1 ms so. Same bytes; tested."""
+    """Endpoints are long and change often: 200 take 20 ms by json_format and 1.8 ms so. Same bytes; tested."""
     message = endpoint_pb2.ClusterLoadAssignment(cluster_name=body["cluster_name"])
     for row in body["endpoints"]:
         locality = message.endpoints.add()
--- a/sageweir/control/subscriptions.py
+++ b/sageweir/control/subscriptions.py
@@ -79,6 +79,7 @@
     version: str
     changed: dict[str, Resource | None]  # None: removed
     sent_ms: float
+    beat: bool = False
 
 
 @dataclass(slots=True)
@@ -194,7 +195,9 @@
         """The next response, in make-before-break order; None where nothing is due. Call `sent` when it is out."""
         for type_url in ORDER:
             books = self.types.get(type_url)
-            if books is None or len(books.flights) >= self.limits.xds_unconfirmed:
+            # Guards against a reader that takes nothing: gRPC takes a response off our hands long before it is read,
+            # so only the proxy's own word tells that it is not held for it here. Heartbeats hold nothing back.
+            if books is None or sum(not f.beat for f in books.flights.values()) >= self.limits.xds_unconfirmed:
                 continue
             for name in [n for n in books.refused if n not in snapshot.of(type_url)]:
                 del books.refused[name]
@@ -232,7 +235,8 @@
         if not response.beat:
             books.asked.difference_update(changed)
             books.stale.difference_update(changed)
-        books.flights[response.nonce] = _Flight(response.version, {} if response.beat else changed, now_ms)
+        books.flights[response.nonce] = _Flight(
+            response.version, {} if response.beat else changed, now_ms, response.beat)
 
     def unconfirmed_since(self) -> float | None:
         """When the oldest response was sent that still waits for its ACK, Unix ms."""
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -58,8 +58,8 @@
     xds_names: int = 1000  # subscribed on one stream, for each type
     xds_name_chars: int = 256
     xds_node_chars: int = 256
-    xds_unconfirmed: int = 8  # responses of one type on one stream that wait for their ACK
-    xds_beats: int = 3  # of these, before there are no more heartbeats
+    xds_unconfirmed: int = 2  # responses of one type on one stream that wait for their ACK: one read, one pending
+    xds_beats: int = 3  # of these and heartbeats, before there are no more heartbeats
     xds_bodies: int = 64  # encoded responses that are kept, over all streams
     xds_first_ms: float = 5000.0  # a stream that has asked for nothing by then is closed
     xds_hold_ms: float = 2000.0  # a route waits so long for a cluster that the proxy does not ask for
--- a/tests/test_control_grpc.py
+++ b/tests/test_control_grpc.py
@@ -136,7 +136,7 @@
     run(test)
 
 
-def test_a_stalled_reader_holds_one_pending_version_and_is_closed_in_the_end(caplog: Any) -> None:
+def test_a_stalled_reader_is_sent_no_more_than_the_bound_and_is_closed_in_the_end(caplog: Any) -> None:
     async def test() -> None:
         async with bench(servers=400, xds_stall_ms=1500.0) as one:
             stalled, sound = XdsClient("stalled", True), XdsClient("sound", True)
