--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -178,6 +178,8 @@
         # Guards against callers that connect and say nothing, or half of something, and keep descriptors.
         limits = self.limits
         if not self.spoke and now - self.opened_at >= limits.first_word_ms:
+            log.info("%s: closed: nothing whole was said in %.0f ms%s", self.peer, now - self.opened_at,
+                     ", but a part of it" if self.begun_at is not None else "")
             self.finish("nothing was said")
         elif self.begun_at is not None and now - self.begun_at >= limits.caller_half_ms:
             log.warning("%s: closed: a message that does not end", self.peer)
