--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -170,6 +170,7 @@
         self.even, self.skip_ms, self.run_at = 0.0, self.least_skip_ms, -inf
         self.current, self.fresh = 0.0, 0.0  # smoothed delay over all servers, ms; even part of first tries
         self.arrived, self.first, self.named = Flow(), Flow(), dict[int, Flow]()  # calls; firsts; by choice
+        self.gateways, self.joined = settings.gateways, 1.0  # now; part of a cold ramp just after some joined
         self.heard, self.typical = 0, [0.0] * (1 + len(settings.tenants))  # mean demands that peers told
         self.hot: dict[str, float] = {}
         self.unserved: dict[str, float] = {}  # numbers that went unserved: when first called
@@ -203,6 +204,8 @@
                 self.servers[server].told(rate, share)
             case api.PeerMessage(_, text):
                 self.hear(text)
+            case api.FleetSize(members):
+                self.resized(members)
             case api.TimerFired(timer) if timer == CONTROL_TIMER:
                 self.control(now_ms)
             case api.TimerFired(timer) if timer == WAIT_TIMER:
@@ -391,7 +394,7 @@
             return True
         # Guards against the sum of many gateways: no first token; less than one buys that chance of a send.
         part = COLD_PART * warmth * min(1.0, self.settings.fall_multiple / UNEVEN)
-        cold.rate = part * max(self.fresh, self.named.get(view.entry.number, Flow()).rate)
+        cold.rate = part * self.joined * max(self.fresh, self.named.get(view.entry.number, Flow()).rate)
         cold.depth_ms = max(0.0, FALL_PART * self.settings.fall_multiple - COLD_PART) * self.settings.fall_ms
         cold.fill(now)
         chance, cold.tokens = cold.tokens, max(0.0, cold.tokens - 1)
@@ -430,10 +433,17 @@
             weight = max(PEER_WEIGHT, 1 / self.heard)
             self.typical = [old + weight * (new - old) for old, new in zip(self.typical, rates, strict=True)]
 
+    def resized(self, members: int) -> None:
+        """Parts of what all gateways share follow from how many there are."""
+        # Guards against a cold server that gets full parts from those who joined and from those they took
+        # calls from: flows fall only as fast as they average. Where some died, flows rise by themselves.
+        self.joined *= min(1.0, self.gateways / members)
+        self.gateways = members
+
     def part(self, which: int, own: float) -> float:
         """This gateway's part of a demand, the others taken to be like those that told; else an even one."""
-        total = own + self.typical[which] * (self.settings.gateways - 1)
-        return own / total if self.heard and total > 0 else 1 / self.settings.gateways
+        total = own + self.typical[which] * (self.gateways - 1)
+        return own / total if self.heard and total > 0 else 1 / self.gateways
 
     def control(self, now: float) -> None:
         seconds = max(now - self.run_at, 1.0) / 1000
@@ -441,7 +451,7 @@
         for flow in [self.arrived, self.first, *self.named.values()]:
             flow.run(seconds)
         self.unserved = {n: at for n, at in self.unserved.items() if now - at < self.longest}
-        self.run_at = now
+        self.run_at, self.joined = now, 1 - SMOOTH * (1 - self.joined)
         self.weigh(now)
         for i, tenant in enumerate(self.settings.tenants):
             share = self.shares[tenant.name]
@@ -514,7 +524,7 @@
             bucket.least = min(LEAST, max(1.0, self.skip_ms / (DEPTH_MS * self.pace) / 2))
         worths = [c.worth for c in self.settings.classes]
         cap = view.max_rate * self.part(0, self.arrived.rate)
-        least = RATE_MIN / self.settings.gateways
+        least = RATE_MIN / self.gateways
         missed = inf  # worth of the worthiest class that misses its target
         for i in self.order:
             bucket, error = view.buckets[i], view.current / self.targets[i] - 1
--- a/dahliabridge/interface.py
+++ b/dahliabridge/interface.py
@@ -216,6 +216,13 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """So many gateways are there now, where that is known better than by the settings; it errs to the high side."""
+
+    members: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer set by SetTimer is due."""
@@ -225,7 +232,7 @@
 
 Event = (
     ListChange | ListLost | SetupRequest | CallerGone | Answered | AttemptEnded
-    | ServerReport | PeerMessage | TimerFired
+    | ServerReport | PeerMessage | FleetSize | TimerFired
 )
 
 
--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -10,12 +10,12 @@
 import zlib
 from collections.abc import Awaitable
 
-from sageweir.clock import SystemClock
+from sageweir.clock import Clock, MonotonicClock, SystemClock
 from sageweir.config import Address, Config, ConfigError, load
 from sageweir.counters import show
 from sageweir.exchange import Exchange
 from sageweir.lifecycle import Lifecycle
-from sageweir.net.admin import AdminSide, granted
+from sageweir.net.admin import AdminSide, Command, granted
 from sageweir.net.callers import CallerSide
 from sageweir.net.feed import FeedClient
 from sageweir.net.jsonlines import JsonLines
@@ -51,12 +51,24 @@
     servers = ServerSide(clock, limits, exchange, server_wire)
     lifecycle = Lifecycle(limits)
     callers = CallerSide(clock, limits, exchange, lifecycle)
-    admin = AdminSide(clock, limits, {
+    commands: dict[str, Command] = {
         "ready": lambda: granted("" if lifecycle.ready() else lifecycle.phase.value),
         "show-stat": lambda: show(exchange.counters, exchange.outstanding(), *exchange.servers_seen()),
         "drain": lambda: granted(lifecycle.drain(clock.now())),
         "resume": lambda: granted(lifecycle.resume(clock.now())),
-    })
+    }
+    fleet = None
+    if config.cluster is not None:
+        # Only here: on the platform controllers share nothing, and none of it is loaded.
+        from sageweir.cluster.faulty import FaultyClock
+        from sageweir.cluster.member import Fleet
+
+        beat: Clock = MonotonicClock(loop)
+        if config.cluster.faults is not None:
+            beat = FaultyClock(beat, config.cluster.faults)
+        fleet = Fleet(beat, limits, config.cluster, config.name, config.settings.gateways, exchange.fleet_size)
+        commands["show-cluster"] = fleet.show
+    admin = AdminSide(clock, limits, commands)
     if config.admin is not None:
         await _listen("admin_addr", admin.listen(config.admin))
         log.info("%s: operators are answered at %s", config.name, config.admin)
@@ -84,6 +96,11 @@
             if handover is not None:
                 handover.stop()
             callers.sweep()
+        if fleet is not None:
+            if lifecycle.shared:
+                fleet.close()  # the process that goes on takes the port, and the name
+            else:
+                fleet.leave()
         stop.set()
 
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -104,6 +121,8 @@
         discovery = Discovery(live.present)
         await loop.create_server(lambda: DiscoveryConnection(limits, discovery), proxies.host, proxies.port)
         log.info("%s: serving endpoint discovery at %s", config.name, proxies)
+    if fleet is not None:
+        await fleet.start()
     gc.freeze()  # what is there now stays: later collections need not look at it
     lifecycle.serving(clock.now())
     await stop.wait()
@@ -113,6 +132,9 @@
         await asyncio.sleep(0.02)
         if handover is not None:
             handover.hand_over()
+    if fleet is not None:
+        fleet.leave()  # once more, as datagrams are lost
+        fleet.close()
     admin.close()
     callers.close()
     feed.stop()
--- a/sageweir/cli.py
+++ b/sageweir/cli.py
@@ -49,6 +49,31 @@
         sys.exit(2)
 
 
+@main.group()
+def cluster() -> None:
+    """The fleet as one of its members sees it."""
+
+
+@cluster.command("show")
+@click.argument("address", envvar="NODE_ADMIN_ADDR")
+@click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
+def cluster_show(address: str, as_json: bool) -> None:
+    """The view of the session controller whose second address (admin_addr) is ADDRESS. Exit code 2: no answer."""
+    from sageweir.ask import ask
+    from sageweir.cluster.show import table
+
+    try:
+        reply = ask(address, "show-cluster")
+    except (OSError, ValueError) as error:
+        click.echo(f"no answer from {address}: {error}", err=True)
+        sys.exit(2)
+    if not reply.endswith("EOT\n"):
+        click.echo(reply.strip(), err=True)
+        sys.exit(1)
+    text = reply.removesuffix("EOT\n").strip()
+    click.echo(text if as_json else table(text))
+
+
 @main.group()
 def lab() -> None:
     """Experiments: stand-in servers and proxies on loopback, figures and bounds."""
--- a/sageweir/clock.py
+++ b/sageweir/clock.py
@@ -42,6 +42,13 @@
         self._loop.call_soon(callback)
 
 
+class MonotonicClock(SystemClock):
+    """Milliseconds since some moment in the past, which no setting of the system's clock moves; loop timers."""
+
+    def now(self) -> float:
+        return self._loop.time() * 1000
+
+
 class _SetTimer:
     def __init__(self, callback: Callable[[], None]) -> None:
         self.callback: Callable[[], None] | None = callback
--- /dev/null
+++ b/sageweir/cluster/member.py
@@ -0,0 +1,181 @@
+"""This process as a member of the fleet: its view, the link under it, and those who are told of it."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import secrets
+from collections.abc import Callable
+from io import FileIO
+from pathlib import Path
+from random import Random
+
+import orjson
+
+from sageweir.clock import Clock, Timer
+from sageweir.cluster.audit import change_row, snapshot
+from sageweir.cluster.link import Link
+from sageweir.cluster.messages import Full, Packet, Record, State
+from sageweir.cluster.tuning import Tuning
+from sageweir.cluster.view import Action, Change, Post, View
+from sageweir.config import ClusterConfig, ConfigError
+from sageweir.limits import Limits
+
+log = logging.getLogger("sageweir.cluster")
+
+
+class AuditFile:
+    """Rows as JSON lines, up to a size; what comes later is counted, not kept."""
+
+    def __init__(self, path: Path, most: int) -> None:
+        self._room = most
+        self._file: FileIO | None = None
+        try:
+            self._file = FileIO(path, "a")
+        except OSError as error:
+            log.warning("no audit: file=%s why=%s", path, error.strerror)
+
+    def write(self, row: dict[str, object]) -> None:
+        if self._file is None:
+            return
+        line = orjson.dumps(row) + b"\n"
+        self._room -= len(line)
+        try:
+            if self._room >= 0:
+                self._file.write(line)
+                return
+            why = "its size is reached"
+        except OSError as error:
+            why = str(error.strerror)
+        log.warning("the audit ends: why=%s", why)
+        self.close()
+
+    def close(self) -> None:
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+
+class Fleet:
+    """The view at work. clock: a monotonic one; sized: told of each new estimate of the fleet's size."""
+
+    def __init__(self, clock: Clock, limits: Limits, config: ClusterConfig, name: str, floor: int,
+                 sized: Callable[[int], None]) -> None:
+        """floor: the fleet's size by the configuration, which holds until the view has settled. Raises ConfigError."""
+        if not (1 <= len(name) <= 64 and name.isascii()):
+            raise ConfigError(f"name: must have 1 to 64 ASCII characters in a fleet, got {name!r:.80}")
+        self.clock, self.limits, self.config, self._sized = clock, limits, config, sized
+        boot, place = secrets.randbits(60), config.advertise or config.listen
+        me = Record(name, 0, boot, State.ALIVE, place.host, place.port, config.zone)
+        tuning = Tuning(period_ms=config.period_ms, remember_ms=config.remember_ms, members_max=config.members_max)
+        seeds = tuple((address.host, address.port) for address in config.join)
+        self.view = View(config.fleet, me, seeds, tuning, Random(boot), floor)
+        self.link = Link(limits, config.via, self._heard, self._asked)
+        self._audit = AuditFile(config.audit, limits.cluster_audit_bytes) if config.audit is not None else None
+        self._told, self._size, self._settled = 0, 0, False
+        self._dropped = dict(self.view.dropped)
+        self._timer: Timer | None = None
+        self._over = self._waits = False
+
+    async def start(self) -> None:
+        """Take the port and join. Where another process still has it, as in an upgrade, it is tried again later."""
+        try:
+            await self.link.listen(self.config.listen)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise ConfigError(f"cluster.json: listen: cannot listen: {error.strerror or error}") from None
+            if not self._waits:
+                log.warning("the fleet's port is taken, it is tried again: listen=%s", self.config.listen)
+            self._waits = True
+            self._timer = self.clock.after(self.limits.cluster_listen_ms, self._again)
+            return
+        log.info("in the fleet: fleet=%s name=%s listen=%s boot=%d", self.config.fleet, self.view.me.name,
+                 self.config.listen, self.view.me.boot)
+        self._perform(self.view.start(self.clock.now()))
+
+    def _again(self) -> None:
+        if not self._over:
+            self._starting = asyncio.ensure_future(self.start())
+
+    # Events
+
+    def _heard(self, packet: Packet) -> None:
+        if not self._over:
+            self._perform(self.view.heard(self.clock.now(), packet))
+
+    def _asked(self, full: Full) -> Full:
+        answer = self.view.full()
+        self._met(full)
+        return answer
+
+    def _met(self, full: Full) -> None:
+        if not self._over:
+            self._perform(self.view.met(self.clock.now(), full))
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._perform(self.view.wake(self.clock.now()))
+
+    def leave(self) -> None:
+        """Take leave of the others; they know at once that this process does not come back by itself."""
+        if not self._over and self.link.transport is not None:
+            self._perform(self.view.leave(self.clock.now()))
+
+    def close(self) -> None:
+        """Without leave: the others find out, or a successor at the same address goes on."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._over = True
+        self.link.close()
+        if self._audit is not None:
+            self._audit.close()
+
+    # What follows from them
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Post):
+                self.link.send(action.host, action.port, action.packet)
+            else:
+                self.link.meet(action.host, action.port, self.view.full(), self._met)
+        self._tell()
+        if self._timer is not None:
+            self._timer.cancel()
+        if not self._over:
+            self._timer = self.clock.after(self.view.due() + 0.5, self._wake)
+
+    def _tell(self) -> None:
+        changes, whole = self.view.since(self._told)
+        if not whole:
+            log.warning("changes were lost: from=%d", self._told + 1)
+        for change in changes:
+            self._told = change.number
+            self._log(change)
+            if self._audit is not None:
+                self._audit.write(change_row(self.view.me, change))
+        size = self.view.size
+        if (size.members, size.settled) != (self._size, self._settled):
+            log.info("the fleet: size=%d settled=%s living=%d", size.members, str(size.settled).lower(),
+                     len(self.view.living))
+            if size.members != self._size:
+                self._sized(size.members)
+            self._size, self._settled = size.members, size.settled
+        for why, count in self.view.dropped.items():
+            if count != self._dropped[why]:
+                self._dropped[why] = count
+                log.warning("a message was dropped: why=%s so_far=%d", why, count)
+
+    def _log(self, change: Change) -> None:
+        before = "none" if change.before is None else change.before.name.lower()
+        if (record := change.record) is None:
+            log.info("member=%s before=%s state=forgotten why=%r", change.name, before, change.why)
+            return
+        log.info("member=%s before=%s state=%s incarnation=%d address=%s:%d zone=%s why=%r", change.name, before,
+                 record.state.name.lower(), record.incarnation, record.host, record.port, record.zone, change.why)
+
+    def show(self) -> str:
+        """The whole view as one line of JSON, and the line that ends it."""
+        told = snapshot(self.view) | {"own_ms": round(self.view.time, 1), "period_ms": self.view.tuning.period_ms,
+                                      "unreadable": self.link.unreadable, "unsent": self.link.unsent}
+        return orjson.dumps(told).decode() + "\nEOT"
--- /dev/null
+++ b/sageweir/cluster/show.py
@@ -0,0 +1,36 @@
+"""The view as a table for people. Pure."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+COLUMNS = ("member", "state", "incarnation", "zone", "address", "heard", "told by")
+
+
+def _since(ms: float | None) -> str:
+    if ms is None:
+        return "never"
+    return f"{ms / 1000:.1f} s ago" if ms < 120_000 else f"{ms / 60_000:.0f} min ago"
+
+
+def table(text: str) -> str:
+    """A member's answer to show-cluster, as lines."""
+    view: dict[str, Any] = orjson.loads(text)
+    word = "settled" if view["settled"] else "not settled"
+    if not view["member"]:
+        word = "NO MEMBER: its name is another process's, or it has not joined yet"
+    rows = [(view["me"] + " (this one)", "alive" if view["member"] else "away", str(view["incarnation"]), view["zone"],
+             view["address"], "", "")]
+    rows += [(row["name"], row["state"], str(row["incarnation"]), row["zone"], row["address"],
+              _since(row["heard_ms_ago"]), row["told_by"]) for row in view["members"]]
+    widths = [max(len(row[i]) for row in [COLUMNS, *rows]) for i in range(len(COLUMNS))]
+    lines = [f"fleet {view['fleet']}: {len(view['living'])} live, counted on as {view['size']}; {word}; "
+             f"digest {view['digest']}; own health {view['health']} (0 is well), {view['stalls']} own stalls"]
+    dropped = {**view["dropped"], "unreadable": view.get("unreadable", 0)}
+    if any(dropped.values()):
+        lines.append("dropped: " + ", ".join(f"{why} {count}" for why, count in dropped.items() if count))
+    for row in [COLUMNS, *rows]:
+        lines.append("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
+    return "\n".join(lines)
--- a/sageweir/config.py
+++ b/sageweir/config.py
@@ -4,7 +4,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -17,6 +17,7 @@
 STATES = {"SERVING": api.ServerState.IN_SERVICE, "DRAINING": api.ServerState.DRAINING,
           "DELETED": api.ServerState.GONE}
 FRONT_FILE = Path("deploy/fronts.json")
+CLUSTER_FILE = Path("deploy/cluster.json")  # the fleet's common things are on only where it exists
 
 
 class ConfigError(ValueError):
@@ -52,6 +53,27 @@
     listed: tuple[Listed, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ClusterConfig:
+    """This process as a member of a fleet (schema: deploy/cluster.schema.json).
+
+    advertise: where others reach it, if that is not `listen`; via: other addresses by which this process reaches some.
+    audit: a file that gets all changes of the view; faults: a file that the laboratory lets its clock go wrong by.
+    """
+
+    fleet: str
+    listen: Address
+    advertise: Address | None = None
+    zone: str = ""
+    join: tuple[Address, ...] = ()
+    via: Mapping[str, Address] = field(default_factory=dict)
+    period_ms: float = 500.0
+    remember_ms: float = 86_400_000.0
+    members_max: int = 2000
+    audit: Path | None = None
+    faults: Path | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What one session controller is told at its start."""
@@ -69,6 +91,7 @@
     xds: Address | None = None
     admin: Address | None = None  # where operators call
     socket_fd: int | None = None  # a listening socket that the platform holds, in place of `listen`
+    cluster: ClusterConfig | None = None  # None: the fleet's common things are off
     folder: Path | None = None  # where an old process and its successor meet; None: they don't
 
 
@@ -184,13 +207,66 @@
     return address
 
 
-def load(environ: Mapping[str, str] = os.environ, front_file: Path = FRONT_FILE) -> Config:
+CLUSTER_KEYS = frozenset({"fleet", "listen", "advertise", "zone", "join", "via", "period_ms", "remember_ms",
+                          "members_max", "audit", "faults"})
+
+
+def read_cluster(raw: Mapping[str, Any]) -> ClusterConfig:
+    """Check the fleet's file. Raises ConfigError, which names the key at fault."""
+    at = f"{CLUSTER_FILE.name}: "
+    if unknown := sorted(raw.keys() - CLUSTER_KEYS):
+        raise ConfigError(f"{at}{unknown[0]}: unknown key")
+
+    def text(key: str, most: int, default: Any = ...) -> str:
+        found: str = _get(raw, key, str, at, default)
+        if len(found) > most or (default is ... and not found) or not found.isascii():
+            least = "1 to " if default is ... else "at most "
+            raise ConfigError(f"{at}{key}: must have {least}{most} ASCII characters")
+        return found
+
+    def address(found: Any, key: str) -> Address:
+        if not isinstance(found, str):
+            raise ConfigError(f"{at}{key}: must be str, got {found!r}")
+        plain = _read_plain(found, f"{at}{key}")
+        if not plain.port:
+            raise ConfigError(f"{at}{key}: must have a port, got {found!r}")
+        return plain
+
+    def number(key: str, kind: type, default: float, least: float, most: float) -> Any:
+        found = _get(raw, key, kind, at, default)
+        if not least <= found <= most:
+            raise ConfigError(f"{at}{key}: must be {least:g} to {most:g}, got {found:g}")
+        return found
+
+    join, via = _get(raw, "join", list, at, []), _get(raw, "via", dict, at, {})
+    if len(join) > 64:
+        raise ConfigError(f"{at}join: must have at most 64 addresses, got {len(join)}")
+    files = {key: Path(found) if (found := text(key, 4096, "")) else None for key in ("audit", "faults")}
+    return ClusterConfig(
+        text("fleet", 64), address(_get(raw, "listen", str, at), "listen"),
+        address(raw["advertise"], "advertise") if "advertise" in raw else None, text("zone", 32, ""),
+        tuple(address(one, f"join[{i}]") for i, one in enumerate(join)),
+        {key: address(one, f"via.{key}") for key, one in via.items()},
+        float(number("period_ms", float, 500.0, 20.0, 60_000.0)),
+        float(number("remember_ms", float, 86_400_000.0, 1000.0, 1e12)),
+        number("members_max", int, 2000, 2, 8000), files["audit"], files["faults"])
+
+
+def load_cluster(path: Path = CLUSTER_FILE) -> ClusterConfig | None:
+    """The fleet's file; None where there is none."""
+    return read_cluster(_load(path, "deploy")) if path.exists() else None
+
+
+def load(environ: Mapping[str, str] = os.environ, front_file: Path = FRONT_FILE,
+         cluster_file: Path = CLUSTER_FILE) -> Config:
     """Read the configuration from NODE_CONFIG; NODE_NAME, NODE_LISTEN, NODE_ADMIN_ADDR go before what it says."""
     path = environ.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: missing")
-    return read(_load(Path(path), "NODE_CONFIG"), environ, read_front(front_file),
-                read_front(front_file, "xds_listen"))
+    config = read(_load(Path(path), "NODE_CONFIG"), environ, read_front(front_file),
+                  read_front(front_file, "xds_listen"))
+    cluster = load_cluster(cluster_file)
+    return config if cluster is None else replace(config, cluster=cluster)
 
 
 def read(raw: Mapping[str, Any], environ: Mapping[str, str] | None = None,
@@ -237,8 +313,10 @@
         dial_ms=float(_get(caps, "dial_timeout_ms", float, "settings.caps.", base.dial_ms)),
         guard_ms=settings.release_guard_ms,
         open_calls=min(open_cap, room * 64),
-        stop_standing_ms=max(c.deadline_ms for c in settings.classes),
-        stop_killed_ms=min(5000.0, max(c.deadline_ms for c in settings.classes)) + 700.0,
+        # As long as the platform lets a process live that it stops, less what a sound end takes: a call that ends by
+        # itself before is not cut.
+        stop_standing_ms=max(c.deadline_ms for c in settings.classes) + base.stop_spare_ms - base.stop_end_ms,
+        stop_killed_ms=min(5000.0, max(c.deadline_ms for c in settings.classes)) + base.stop_spare_ms,
         max_left_ms=10 * max(c.deadline_ms for c in settings.classes),
     )
     known = _get(raw, "known", dict, "", {"n": 0, "events": []})
@@ -247,7 +325,7 @@
     feed = _get(raw, "feed", str, "", "")
     return Config(name, read_address(listen, "listen"), read_address(feed, "feed") if feed else None, number,
                   settings, fields, events, _get(known, "n", int, "known.", 0), limits, websocket, xds,
-                  _read_plain(admin, "admin_addr") if admin else None, int(fd) if fd else None,
+                  _read_plain(admin, "admin_addr") if admin else None, int(fd) if fd else None, None,
                   Path(environ["TMPDIR"]) if fd and environ.get("TMPDIR") else None)
 
 
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -155,6 +155,10 @@
             self._scheduled = True
             self.clock.soon(self._work)
 
+    def fleet_size(self, members: int) -> None:
+        """So many session controllers are there now, or may be."""
+        self._post(api.FleetSize(members))
+
     def _work(self) -> None:
         self._scheduled = False
         while self._inbox:
--- a/sageweir/lab/commands.py
+++ b/sageweir/lab/commands.py
@@ -20,14 +20,14 @@
 
 
 def _finish(work: Coroutine[Any, Any, Report], json_path: Path | None, plot: Path | None, title: str,
-            bound: float) -> None:
+            bound: float, axis: str = "ms from notice", unit: str = "ms") -> None:
     report = asyncio.run(work)
     click.echo(report.text())
     if json_path is not None:
         report.write(json_path)
     if plot is not None:
-        plot_ecdf(plot, title, {name.strip("_").removesuffix("_ms"): values
-                                for name, values in report.figures.items() if name.startswith("_")}, bound)
+        plot_ecdf(plot, title, {name.strip("_").removesuffix(f"_{unit}"): values
+                                for name, values in report.figures.items() if name.startswith("_")}, bound, axis, unit)
     sys.exit(0 if report.kept else 1)
 
 
@@ -65,6 +65,25 @@
 
         _finish(run(proxies, servers, changes, processes, workers), json_path, plot, "Notice to ACK", 100.0)
 
+    @group.command()
+    @click.option("--members", default=8, show_default=True, help="Real processes.")
+    @click.option("--seeds", default=200, show_default=True, help="Random fault scripts in virtual time.")
+    @click.option("--hours", default=0.25, show_default=True, help="Of each of 32 members, for wrong deaths.")
+    @click.option("--size", "sizes", multiple=True, type=int, default=(8, 32, 200), show_default=True,
+                  help="Of simulated fleets; several times.")
+    @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 1), show_default=True,
+                  help="Processes that simulate.")
+    @_json
+    @_plot
+    def view(members: int, seeds: int, hours: float, sizes: tuple[int, ...], workers: int, json_path: Path | None,
+             plot: Path | None) -> None:
+        """The fleet's view of itself: crash, partition, stalls and random faults; a cold server's start."""
+        from sageweir.lab.view import AIM_PERIODS
+        from sageweir.lab.view import view as run
+
+        _finish(run(members, seeds, hours, sizes, workers), json_path, plot, "Crash to known",
+                AIM_PERIODS, "periods from the crash", "periods")
+
     @group.command()
     @click.option("--upgrades", default=10, show_default=True)
     @click.option("--callers", default=20, show_default=True)
--- /dev/null
+++ b/sageweir/lab/invariants.py
@@ -0,0 +1,120 @@
+"""What must hold of the views of a fleet, whoever made the records: the simulator, a test, or real processes. Pure.
+
+Safety is judged on each member's audit rows and on its owner's; liveness on snapshots taken when it is due.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from sageweir.cluster.tuning import Tuning
+from sageweir.cluster.view import STOOD, SUSPECTED
+
+Row = Mapping[str, Any]
+RANKS = {"alive": 0, "suspect": 1, "dead": 2, "left": 3}
+CLAIMS_A_PERIOD = 0.5  # of one process, beyond one for each time that it was accused; more is a duel
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A process that was stopped and let go again at that time of its clock, ms."""
+
+    boot: int
+    went_on_ms: float
+
+
+def check_audits(audits: Iterable[Sequence[Row]], tuning: Tuning, names: set[str], stops: Sequence[Stop] = (),
+                 liars: frozenset[int] = frozenset()) -> list[str]:
+    """Violations of safety; an audit is one process's rows, in order. liars: boots whose words may be anything."""
+    audits = [list(rows) for rows in audits]
+    found: list[str] = []
+    claimed: dict[int, set[int]] = defaultdict(set)  # by boot: the incarnations that it took itself
+    for rows in audits:
+        for row in rows:
+            if row["name"] == row["me"] and row["of_boot"] == row["boot"]:
+                claimed[row["boot"]].add(row["incarnation"])
+    for rows in audits:
+        if rows and rows[0]["boot"] in liars:
+            continue
+        found += _one(rows, tuning, names, claimed, stops, bool(liars))
+    return found
+
+
+def _one(rows: Sequence[Row], tuning: Tuning, names: set[str], claimed: Mapping[int, set[int]],
+         stops: Sequence[Stop], lied: bool) -> list[str]:
+    found: list[str] = []
+    ranks: dict[str, tuple[int, int, int]] = {}
+    accused = claims = 0
+    for expected, row in enumerate(rows, 1):
+        where = f"{row['me']} at {row['own_ms']:.0f}: {row['name']}"
+        if row["number"] != expected:
+            found.append(f"{where}: change {row['number']} where {expected} was due")
+        if row["name"] not in names:
+            found.append(f"{where}: a stranger was taken in")
+        if row["state"] is None:
+            ranks.pop(row["name"], None)
+            continue
+        rank = row["incarnation"], row["of_boot"], RANKS[row["state"]]
+        own = row["name"] == row["me"] and row["of_boot"] == row["boot"]
+        last = ranks.get(row["name"], (0, 0, 0))
+        if rank < last:
+            found.append(f"{where}: went back from {last} to {rank}")
+        ranks[row["name"]] = rank
+        if own:
+            claims += row["state"] == "alive" and not row["why"].startswith((STOOD, "refuted"))
+            accused += row["why"].startswith("refuted")
+            if row["state"] in ("suspect", "dead"):
+                found.append(f"{where}: took itself for {row['state']}")
+            if row["why"].startswith("refuted") and rank == last:
+                found.append(f"{where}: refuted without a higher incarnation")
+        elif not lied and row["incarnation"] not in claimed.get(row["of_boot"], set()):
+            found.append(f"{where}: incarnation {row['incarnation']} was never taken by its process")
+        judged = re.match(rf"{SUSPECTED} for (\d+) ms", row["why"])
+        if row["state"] == "dead" and not judged and not row["why"].startswith("told by"):
+            found.append(f"{where}: dead without a suspicion ({row['why']})")
+        if judged:
+            if float(judged[1]) < tuning.suspect_least * tuning.period_ms - 1:
+                found.append(f"{where}: buried after {judged[1]} ms of suspicion")
+            for stop in stops:
+                if stop.boot == row["boot"] and 0 <= row["at_ms"] - stop.went_on_ms < tuning.least(1) * 0.9:
+                    found.append(f"{where}: buried right after a stop of its own")
+    if rows:
+        periods = (rows[-1]["own_ms"] - rows[0]["own_ms"]) / tuning.period_ms
+        if claims > 3 + CLAIMS_A_PERIOD * periods / 2:
+            found.append(f"{rows[0]['me']}: {claims} claims to its name in {periods:.0f} periods: a duel")
+    return found
+
+
+def check_views(views: Sequence[Row], living: set[str]) -> list[str]:
+    """What is wrong with snapshots that should agree by now; each of a process that lives. living: names that do."""
+    found: list[str] = []
+    for view in views:
+        if not view["member"]:
+            continue
+        seen = {row[0]: row[3] for row in view["living"]}
+        for name in sorted(living - seen.keys()):
+            found.append(f"{view['me']}: {name} lives and is not in the view")
+        for name in sorted(seen.keys() - living):
+            found.append(f"{view['me']}: {name} does not live and is in the view as {seen[name]}")
+    found += check_digests(views)
+    if len({view["digest"] for view in views if view["member"]}) > 1:
+        found.append("the digests are not all equal")
+    return found
+
+
+def check_digests(views: Sequence[Row]) -> list[str]:
+    """Digests are equal exactly where views are; holds at any time."""
+    by_digest: dict[str, set[str]] = defaultdict(set)
+    by_rows: dict[str, set[str]] = defaultdict(set)
+    for view in views:
+        if view["member"]:
+            rows = repr([list(row) for row in view["living"]])
+            by_digest[view["digest"]].add(rows)
+            by_rows[rows].add(view["digest"])
+    found = [f"digest {digest} stands for {len(rows)} views" for digest, rows in by_digest.items() if len(rows) > 1]
+    found += [f"one view has {len(digests)} digests" for digests in by_rows.values() if len(digests) > 1]
+    return found
--- a/sageweir/lab/report.py
+++ b/sageweir/lab/report.py
@@ -62,7 +62,7 @@
             "aims": self.aims, "kept": self.kept}, option=orjson.OPT_INDENT_2) + b"\n")
 
 
-def plot_ecdf(path: Path, title: str, series: dict[str, list[float]], bound: float) -> None:
+def plot_ecdf(path: Path, title: str, series: dict[str, list[float]], bound: float, axis: str, unit: str) -> None:
     """The part of all values that each value is not under, one line a series, with the bound. Needs `lab`."""
     import matplotlib
 
@@ -73,8 +73,8 @@
     for name, values in series.items():
         found = sorted(values)
         axes.step(found, [(i + 1) / len(found) for i in range(len(found))], where="post", label=name)
-    axes.axvline(bound, color="black", linestyle="--", linewidth=0.8, label=f"bound, {bound:g} ms")
-    axes.set(title=title, xlabel="ms from notice", ylabel="part of all", xscale="log")
+    axes.axvline(bound, color="black", linestyle="--", linewidth=0.8, label=f"bound, {bound:g} {unit}")
+    axes.set(title=title, xlabel=axis, ylabel="part of all", xscale="log")
     axes.grid(alpha=0.3)
     axes.legend()
     figure.tight_layout()
--- a/sageweir/lab/rig.py
+++ b/sageweir/lab/rig.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -19,15 +20,30 @@
 CLASSES: list[tuple[str, float]] = [("status-check", 0.94), ("release-check", 0.06)]
 
 
+_given: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Ports of loopback that nobody listens on now."""
-    holders = [socket.socket() for _ in range(count)]
-    for holder in holders:
-        holder.bind(("127.0.0.1", 0))
-    ports = [holder.getsockname()[1] for holder in holders]
-    for holder in holders:
-        holder.close()
-    return ports
+    """Ports of loopback that nobody has now, TCP or UDP, and that this process has not been given before.
+
+    They lie below those that the system gives to connections by itself, which would take them in between.
+    """
+    found: list[int] = []
+    for _ in range(100_000):
+        if len(found) == count:
+            return found
+        port = random.randrange(12_000, 32_000)
+        if port in _given:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as holder:
+                    holder.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        _given.add(port)
+        found.append(port)
+    raise RuntimeError("no free ports are left")
 
 
 def settings(cold_ms: float) -> dict[str, Any]:
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -53,6 +53,8 @@
     gone_silence_ms: float = 2000.0  # calls at a server that is gone from the list and silent so long are cut
     stop_open_ms: float = 800.0  # connections and requests are still taken so long after SIGTERM
     stop_standing_ms: float = 9000.0  # and calls that stand are waited for so long
+    stop_spare_ms: float = 700.0  # the platform kills so long after the longest deadline has passed, or later
+    stop_end_ms: float = 150.0  # of it for the end itself: calls are cut, both ends are told
     max_left_ms: float = 90_000.0  # the longest time that a caller may wait for an answer
     handover_ms: float = 300.0  # a new process waits so long for what an old one has learned
     admin_line_ms: float = 800.0  # an operator's call that is not whole by then is refused
@@ -61,6 +63,12 @@
     stop_killed_ms: float = 3700.0  # the platform kills so long after SIGTERM, or later
     fresh_ms: float = 300.0  # a new connection may be silent so long while clients are sent away
     linger_ms: float = 1000.0  # the peer's close is awaited so long after ours (WebSocket)
+    # The fleet's common things (sageweir/cluster)
+    cluster_exchanges: int = 16  # full exchanges at once, and as many asked for
+    cluster_exchange_ms: float = 2000.0  # one of them
+    cluster_buffer_bytes: int = 256 * 1024  # datagrams that wait, either way
+    cluster_listen_ms: float = 200.0  # between tries for a port that another process still has
+    cluster_audit_bytes: int = 64 * 1024 * 1024  # of the file that keeps all changes
     # The control service's streams (sageweir/control)
     xds_streams: int = 2000  # open at once
     xds_node_streams: int = 64  # of one node id
--- a/sageweir/reload.py
+++ b/sageweir/reload.py
@@ -11,7 +11,7 @@
 
 log = logging.getLogger("sageweir.reload")
 
-FIXED = ("name", "listen", "settings", "limits", "websocket", "xds", "admin")  # read at a start only
+FIXED = ("name", "listen", "settings", "limits", "websocket", "xds", "admin", "cluster")  # read at a start only
 
 
 class Feed(Protocol):
--- /dev/null
+++ b/tests/test_cluster_fleet.py
@@ -0,0 +1,189 @@
+"""Several processes of the program, by its ordinary command line, with faults between them.
+
+Safety is judged on the processes' audit files; liveness by waiting for equal views, bounded in protocol periods.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import subprocess
+import sys
+import time
+from typing import Any
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from sageweir.cli import main
+from sageweir.lab.faults.cases import CASES, LIES
+from sageweir.lab.faults.rig import FleetRig, Missed
+from sageweir.lab.faults.script import Fault, partition
+from sageweir.lab.feed import FeedStandIn, row
+from sageweir.lab.rig import Worker, free_ports
+from sageweir.lab.upgrade import Caller, Seen
+from tests.test_program import EXAMPLE, ROOT
+
+MEMBERS, AT_ONCE = 6, 4
+NAMES = [f"m{i}" for i in range(MEMBERS)]
+PERIODS = 60.0
+
+
+async def play(case: str) -> None:
+    script = (CASES | LIES)[case](NAMES)
+    # Longer than the partitions last, except where these are to outlast it.
+    remember_ms = 4000.0 if case == "a partition by zone" else 120_000.0
+    async with FleetRig(NAMES, script, seed=sum(map(ord, case)), remember_ms=remember_ms) as rig:
+        await rig.until_alike(PERIODS)
+        await rig.play()
+        await rig.until_alike(PERIODS)
+        liars = frozenset(view["boot"] for view in await rig.views() if case in LIES and view["me"] == NAMES[0])
+        rig.check(liars)
+        if case == "rubbish, strangers and replays":
+            views = await rig.views()
+            assert all(view["unreadable"] and view["dropped"]["foreign"] for view in views if view["me"] != NAMES[0])
+
+
+async def restart_under_load(case: str) -> None:
+    """Members are stopped and started anew, one after the other, while callers make calls at all of them."""
+    feed, ports = FeedStandIn(), free_ports(2)
+    await feed.start()
+    machines = await Worker.start("sageweir.lab.servers", {
+        "model": {"work_ms": 2.0, "cold_ms": 0.0, "cold_from": 1.0}, "fall_multiple": 3.0, "fall_ms": 1000.0,
+        "ports": ports, "hold_ms": 500.0})
+    for i, port in enumerate(ports):
+        await machines.ask(do="start", port=port, name=f"s-{i}", started_ms=0.0)
+    feed.push([row(f"s-{i}", port, i) for i, port in enumerate(ports)], complete=True)
+    seen = Seen()
+    try:
+        async with FleetRig(NAMES, CASES["a rolling restart"](NAMES), feed=feed.port) as rig:
+            await rig.until_alike(PERIODS)
+            until = time.time() + 3 * 8 * rig.period_ms / 1000
+            calls = [asyncio.create_task(Caller(rig.clients[name], seen, i).run(8.0, until))
+                     for i, name in enumerate(NAMES[-2:])]
+            await rig.play()
+            await rig.until_alike(PERIODS)
+            await asyncio.gather(*calls)
+            rig.check()
+    finally:
+        await machines.stop()
+        await feed.stop()
+    finals = [[word for word in words if word != "over"] for words in seen.words.values()]
+    assert len(finals) > 20 and all(words == ["served"] for words in finals)
+
+
+async def burst(case: str) -> None:
+    """Many join within a moment, while half of the join list is dead."""
+    names = [f"m{i}" for i in range(16)]
+    async with FleetRig(names, [Fault(0, "kill", (names[0],))], seeds=2, later=names[2:]) as rig:
+        await rig.until_alike(PERIODS)
+        await rig.play()
+        await asyncio.gather(*(rig.start(place) for place in rig.places if place.name in names[2:]))
+        await rig.until_alike(PERIODS)
+        rig.check()
+
+
+async def address_taken(case: str) -> None:
+    """A member's address comes to another name, and the member itself comes back elsewhere."""
+    async with FleetRig(NAMES[:4], [Fault(1, "kill", (NAMES[3],)), Fault(6, "move", (NAMES[3],))]) as rig:
+        await rig.until_alike(PERIODS)
+        old = next(place for place in rig.places if place.name == NAMES[3])
+        await rig.play(rig.script[:1])
+        stranger = rig._place("new", 0, old.port)
+        rig.names.append("new")
+        rig.places.append(stranger)
+        await rig.start(stranger)
+        await rig.until_alike(PERIODS)
+        await rig.step(rig.script[1], True)
+        await rig.until_alike(PERIODS)
+        rig.check()
+
+
+async def planted(case: str) -> None:
+    """The rig's own check: a member that a lie killed for good is found missing, and the script is printed."""
+    async with FleetRig(NAMES[:3]) as rig:
+        await rig.until_alike(PERIODS)
+        await rig.play(partition(0, 40, [NAMES[:1], NAMES[1:3]])[:1])
+        rig.links.step(partition(0, 0, [NAMES[:1], NAMES[1:3]])[0], True)
+        with pytest.raises(Missed, match="still:"):
+            await rig.until(lambda views: [view["me"] for view in views if not view["settled"] or view["size"] != 3], 8)
+
+
+async def shown(case: str) -> None:
+    """What operators see of it."""
+    async with FleetRig(NAMES[:3], [Fault(0, "kill", (NAMES[2],))]) as rig:
+        await rig.until_alike(PERIODS)
+        await rig.until(lambda views: [view["me"] for view in views if not view["settled"] or view["size"] != 3])
+        place = rig.places[0]
+        shown = await asyncio.to_thread(CliRunner().invoke, main, ["cluster", "show", place.admin])
+        assert shown.exit_code == 0 and "3 live, counted on as 3; settled" in shown.output and "m2" in shown.output
+        await rig.play()
+        await rig.until(lambda views: [view["me"] for view in views if not view["settled"] or view["size"] != 2])
+        as_json = await asyncio.to_thread(CliRunner().invoke, main, ["cluster", "show", "--json", place.admin])
+        assert '"state":"dead"' in as_json.output
+        log = rig.log(place)
+        assert "member=m2 before=alive state=suspect" in log and "the fleet: size=2 settled=true" in log
+        rig.check()
+    nobody = CliRunner().invoke(main, ["cluster", "show", f"127.0.0.1:{free_ports(1)[0]}"])
+    assert nobody.exit_code == 2
+
+
+MORE = {"a rolling restart under load": restart_under_load, "a burst of joins": burst,
+        "an address under another name": address_taken, "what should come does not": planted, "shown": shown}
+ALL = [*CASES, *LIES, *MORE]
+
+
+@pytest.fixture(scope="module")
+def outcomes() -> dict[str, BaseException | None]:
+    """All cases, some at once: each waits for its own processes only."""
+    found: dict[str, BaseException | None] = {}
+
+    async def one(case: str, turns: asyncio.Semaphore) -> None:
+        async with turns:
+            try:
+                await MORE.get(case, play)(case)
+                found[case] = None
+            except BaseException as error:
+                found[case] = error
+
+    async def run() -> None:
+        turns = asyncio.Semaphore(AT_ONCE)
+        await asyncio.gather(*(one(case, turns) for case in ALL))
+
+    asyncio.run(run())
+    return found
+
+
+@pytest.mark.parametrize("case", ALL)
+def test_processes(case: str, outcomes: dict[str, BaseException | None]) -> None:
+    if (error := outcomes[case]) is not None:
+        raise error
+
+
+# Without deploy/cluster.json
+
+def test_run_without_the_file_loads_nothing_of_the_cluster(tmp_path: Any) -> None:
+    """On the platform controllers share nothing: a whole start and stop is looked at from inside."""
+    code = """
+import asyncio, os, signal, sys
+from sageweir.__main__ import serve
+from sageweir.config import load
+async def run():
+    asyncio.get_running_loop().call_later(0.3, os.kill, os.getpid(), signal.SIGTERM)
+    await serve(load())
+asyncio.run(run())
+print(*sorted(name for name in sys.modules if name.split(".")[0] in (
+    "sageweir", "dahliabridge", "msgspec", "click", "structlog", "grpc", "numpy", "matplotlib")))
+"""
+    path = tmp_path / "config.json"
+    client, admin = free_ports(2)
+    path.write_bytes(orjson.dumps(EXAMPLE | {"listen": f"127.0.0.1:{client}", "admin_addr": f"127.0.0.1:{admin}"}))
+    done = subprocess.run([sys.executable, "-c", code], cwd=tmp_path, capture_output=True, text=True, check=True,
+                          env=os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}, timeout=60)
+    loaded = done.stdout.split()
+    assert "sageweir.net.callers" in loaded
+    assert not [name for name in loaded if name.startswith(("sageweir.cluster", "sageweir.lab", "sageweir.control"))
+                or not name.startswith(("sageweir", "dahliabridge"))]
+
+
--- /dev/null
+++ b/tests/test_cluster_view.py
@@ -0,0 +1,349 @@
+"""The view of the fleet in virtual time: words and bytes, hard cases, seeds, and planted faults that must be found."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import jsonschema
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sageweir.clock import SetClock
+from sageweir.cluster.faulty import FaultyClock
+from sageweir.cluster.member import AuditFile, Fleet
+from sageweir.cluster.messages import DATAGRAM_BYTES, Full, Kind, News, Packet, Record, State
+from sageweir.cluster.news import Gossip
+from sageweir.cluster.show import table
+from sageweir.cluster.size import Seen, Size
+from sageweir.cluster.tuning import Health, Tuning
+from sageweir.cluster.view import Post, View
+from sageweir.cluster.wire import Unreadable, decode_full, decode_packet, encode_full, encode_packet
+from sageweir.config import Address, ConfigError, load_cluster, read_cluster
+from sageweir.lab.coldfleet import cold
+from sageweir.lab.faults.cases import CASES
+from sageweir.lab.faults.script import Fault, draw_script, dump, load
+from sageweir.lab.invariants import check_audits, check_digests
+from sageweir.lab.planted import PLANTED
+from sageweir.lab.rig import free_ports
+from sageweir.lab.simulate import Simulator, play_seed
+from sageweir.limits import Limits
+from tests.test_program import ROOT
+
+TUNING = Tuning(remember_ms=20_000.0)  # twenty periods: partitions here last longer than the dead are remembered
+NAMES = [f"m{i}" for i in range(8)]
+
+texts = st.text(st.characters(max_codepoint=0x7f, exclude_categories=["Cs"]), min_size=1, max_size=64)
+numbers = st.integers(0, (1 << 62) - 1)
+records = st.builds(Record, texts, st.integers(0, (1 << 40) - 1), numbers, st.sampled_from(State),
+                    texts.map(lambda t: t[:45]), st.integers(1, 65535), texts.map(lambda t: t[:32]))
+news = st.builds(News, records, texts, numbers)
+
+
+# Bytes
+
+@given(st.builds(Packet, texts, st.sampled_from(Kind), records, numbers, numbers, st.integers(0, (1 << 63) - 1), texts,
+                 st.lists(news, max_size=4).map(tuple)))
+def test_packets_come_back_as_they_were(packet: Packet) -> None:
+    data = encode_packet(packet)
+    if len(data) <= DATAGRAM_BYTES:
+        assert decode_packet(data) == packet
+    full = Full(packet.fleet, packet.source, packet.digest, packet.news)
+    assert decode_full(encode_full(full)) == full
+    assert all(len(encode_packet(Packet("f", Kind.PING, packet.source, 0, 0, 0, "", (one,)))) -
+               len(encode_packet(Packet("f", Kind.PING, packet.source, 0, 0, 0))) <= one.size() for one in packet.news)
+
+
+@given(st.one_of(st.binary(max_size=1500), st.binary(max_size=200).map(lambda tail: b"SV\x01" + tail)))
+def test_rubbish_is_refused_and_nothing_else(data: bytes) -> None:
+    for decode in (decode_packet, decode_full):
+        try:
+            decode(data)
+        except Unreadable:
+            continue
+
+
+def test_a_packet_cut_anywhere_or_with_a_bad_field_is_refused() -> None:
+    record = Record("a", 1, 2, State.ALIVE, "127.0.0.1", 9)
+    data = encode_packet(Packet("f", Kind.PING, record, 1, 1, 1, "b", (News(record, "a", 3),)))
+    for end in range(len(data)):
+        with pytest.raises(Unreadable):
+            decode_packet(data[:end])
+    for bad in (Record("", 1, 2, State.ALIVE, "h", 9), Record("a", 1 << 41, 2, State.ALIVE, "h", 9),
+                Record("a" * 65, 1, 2, State.ALIVE, "h", 9), Record("a", -1, 2, State.ALIVE, "h", 0)):
+        with pytest.raises(Unreadable):
+            decode_packet(encode_packet(Packet("f", Kind.PING, bad, 1, 1, 1)))
+
+
+@given(st.lists(news, max_size=60), st.integers(1, 12))
+def test_news_go_out_least_sent_first_and_so_often_only(pieces: list[News], sends: int) -> None:
+    gossip, told = Gossip(), dict[str, int]()
+    for piece in pieces:
+        gossip.put(piece)
+    latest = {piece.record.name: piece for piece in pieces}
+    for _ in range(2000):
+        took = gossip.take(1400, sends, lambda piece: piece)
+        assert sum(piece.size() for piece in took) <= 1400
+        for piece in took:
+            assert latest[piece.record.name] == piece
+            told[piece.record.name] = told.get(piece.record.name, 0) + 1
+        if len(told) == len(latest):
+            assert max(told.values(), default=0) - min(told.values(), default=0) <= 1 or not gossip
+        if not gossip:
+            break
+    assert told == dict.fromkeys(latest, sends) and len(gossip) == 0
+
+
+def test_datagrams_keep_to_their_size_with_the_longest_names() -> None:
+    names = [f"{i:03d}".ljust(64, "x") for i in range(40)]
+    sim = Simulator(names, 3, TUNING)
+    sizes = []
+    send = sim._post
+
+    def watch(node: Any, to: Any, packet: Packet) -> None:
+        sizes.append(len(encode_packet(packet)))
+        send(node, to, packet)
+
+    sim._post = watch  # type: ignore[method-assign]
+    sim.all_up(1.0)
+    sim.run(20)
+    assert DATAGRAM_BYTES - 300 < max(sizes) <= DATAGRAM_BYTES
+
+
+# Decisions
+
+@pytest.mark.parametrize(("looks", "members", "settled"), [
+    ([], 8, False),  # the settings' count, until the view has settled once
+    ([Seen(3, 0, 0, 1e9, 9, 0, True)], 3, True),
+    ([Seen(3, 0, 0, 1e9, 9, 0, True), Seen(12, 0, 0, 0, 0, 0, True)], 12, False),  # who joins counts at once
+    ([Seen(12, 0, 0, 1e9, 9, 0, True), Seen(6, 0, 6, 0, 0, 0, True)], 12, False),  # who dies only once it is settled
+    ([Seen(12, 0, 0, 1e9, 9, 0, True), Seen(6, 0, 6, 1e9, 9, 0, True)], 6, True),  # half of it: taken for dead
+    ([Seen(12, 0, 0, 1e9, 9, 0, True), Seen(5, 0, 7, 1e9, 9, 0, True)], 12, True),  # fewer: may be the cut-off part
+    ([Seen(3, 1, 0, 1e9, 9, 0, True)], 8, False), ([Seen(3, 0, 0, 1e9, 1, 0, True)], 8, False),
+    ([Seen(3, 0, 0, 1e9, 9, 5, True)], 8, False), ([Seen(1, 0, 0, 1e9, 0, 0, False)], 8, False),
+    ([Seen(1, 0, 0, 1e9, 0, 0, True)], 1, True),
+])
+def test_the_size_errs_to_the_high_side(looks: list[Seen], members: int, settled: bool) -> None:
+    size = Size(8)
+    for seen in looks:
+        size.look(seen, 5000.0)
+    assert (size.members, size.settled) == (members, settled)
+
+
+def test_suspicions_are_shorter_the_more_agree_and_longer_in_a_large_fleet() -> None:
+    tuning = Tuning()
+    times = [tuning.suspicion(200, agreed) for agreed in range(4)]
+    assert times == sorted(times, reverse=True) and times[-1] == tuning.least(200) > tuning.least(8)
+    assert tuning.suspicion(2, 0) == tuning.least(2)  # nobody could agree
+    health = Health(8)
+    for change in (1, 1, -1):
+        health.note(change)
+    assert health.factor == 2
+
+
+def view(name: str = "a", seeds: tuple[tuple[str, int], ...] = (), **tuning: Any) -> View:
+    return View("f", Record(name, 0, 1, State.ALIVE, "h", 1), seeds, Tuning(**tuning), Random(1))
+
+
+def test_it_refutes_what_is_said_of_itself_and_believes_no_incarnation_out_of_range() -> None:
+    one = view()
+    one.start(0.0)
+    one.wake(2000.0)
+    assert one.me.incarnation == 1
+    other = Record("b", 1, 2, State.ALIVE, "h", 2)
+    out = one.heard(2000.0, Packet("f", Kind.PING, other, 1, 7, 0, "a", (News(one.me.said(State.SUSPECT), "c"),)))
+    assert one.me.incarnation == 2 and one.health.score > 0
+    ack = next(a.packet for a in out if isinstance(a, Post) and a.packet.kind is Kind.ACK)
+    assert ack.probe == 7 and News(one.me, "a") in ack.news
+    one.heard(2000.0, Packet("f", Kind.PING, other, 2, 8, 0, "a", (
+        News(Record("a", (1 << 40) - 1, 1, State.DEAD, "h", 1)),)))
+    assert one.me.incarnation == 2 and one.dropped["no word"] == 1
+
+
+def test_full_views_and_replays_are_bounded_and_counted() -> None:
+    one = view(members_max=3)
+    one.start(0.0)
+    one.wake(2000.0)
+    packet = Packet("f", Kind.PING, Record("b", 1, 2, State.ALIVE, "h", 2), 5000, 1, 0, "a", tuple(
+        News(Record(f"x{i}", 1, i, State.ALIVE, "h", 3 + i)) for i in range(9)))
+    one.heard(2000.0, packet)
+    assert len(one.members) == 2 and one.dropped["full"] == 8
+    old = Packet("f", Kind.PING, packet.source, 5000 - one.tuning.behind, 1, 0, "a")
+    assert one.heard(2001.0, old) == [] and one.dropped["replayed"] == 1
+    assert one.since(0)[1] and [change.number for change in one.since(1)[0]] == list(range(2, len(one.changes) + 1))
+
+
+# Hard cases, seeds and planted faults, in virtual time
+
+@pytest.mark.parametrize("case", CASES)
+@pytest.mark.parametrize("members", [8, 24])
+def test_hard_cases(case: str, members: int) -> None:
+    names = [f"m{i}" for i in range(members)]
+    found, took = play_seed(11, members, TUNING, CASES[case](names))
+    assert not found and took is not None and took <= 40
+
+
+def test_seeds() -> None:
+    for seed in range(80):
+        script = draw_script(seed, NAMES, [NAMES[::2], NAMES[1::2]], 40.0)
+        found, took = play_seed(seed, len(NAMES), TUNING, script)
+        assert not found and took is not None, f"seed {seed}: {found[:5]}\n{dump(script)}"
+
+
+def test_scripts_are_printed_and_played_again() -> None:
+    script = draw_script(5, NAMES, [NAMES[::2], NAMES[1::2]], 40.0)
+    assert load(dump(script)) == script
+    assert play_seed(5, 8, TUNING, script) == play_seed(5, 8, TUNING, load(dump(script)))
+    with pytest.raises(ValueError, match="line 1: no fault"):
+        load('{"at": 1, "do": "dance", "who": []}')
+
+
+@pytest.mark.parametrize("fault", PLANTED)
+def test_planted_faults_are_found(fault: str) -> None:
+    for case in ("a partition in two", "stopped while it suspects others", "half hears half, not the other way",
+                 "the same name twice while the first is stopped", "rubbish, strangers and replays",
+                 "a rolling restart", "loss, reorder and doubles", "a link that flaps"):
+        found, took = play_seed(7, 8, TUNING, CASES[case](NAMES), make=PLANTED[fault])
+        if found or took is None:
+            return
+    raise AssertionError("not found")
+
+
+def test_a_lie_about_a_third_is_refuted_and_does_not_last() -> None:
+    sim = Simulator(NAMES, 2, TUNING)
+    sim.all_up(1.0)
+    assert sim.until_alike(40.0) is not None
+    liar, third = sim.nodes[0], sim.nodes[1]
+    for node in sim.nodes[2:]:
+        sim.arrive(node, Packet("fleet", Kind.NEWS, liar.view.me, liar.view.said + 1, 0, 0, "",
+                                (News(third.view.me.said(State.DEAD), liar.name),)))
+    sim.run(0.3)
+    assert any(third.name not in {r.name for r in node.view.living} for node in sim.nodes[2:])  # believed at first
+    assert sim.until_alike(20.0) is not None and third.view.me.incarnation > 1
+    assert check_audits([node.rows for node in sim.nodes], TUNING, set(NAMES), liars=frozenset({liar.boot})) == []
+    assert check_digests(sim.views()) == []
+
+
+@pytest.mark.parametrize("case", ["join", "die"])
+def test_a_cold_server_is_neither_flooded_nor_starved(case: str) -> None:
+    for tells in (False, True):
+        found = cold(case, live=True, tells=tells, seed=3)
+        assert found["worst_of_budget"] < 1.0 and found["set_ups"] > 50 and found["in_time"] > 0.9
+
+
+# Configuration, clocks, files
+
+FILE: dict[str, Any] = orjson.loads((ROOT / "examples" / "cluster.json").read_bytes())
+SCHEMA: dict[str, Any] = orjson.loads((ROOT / "deploy" / "cluster.schema.json").read_bytes())
+
+
+def test_the_example_is_read_and_fits_the_schema(tmp_path: Path) -> None:
+    jsonschema.validate(FILE, SCHEMA)
+    path = tmp_path / "cluster.json"
+    assert load_cluster(path) is None
+    path.write_bytes(orjson.dumps(FILE))
+    config = load_cluster(path)
+    assert config is not None and config.fleet == "muscat-main" and len(config.join) == 3
+
+
+@pytest.mark.parametrize(("key", "value", "text"), [
+    ("fleet", "", "fleet: must have 1 to 64 ASCII"), ("fleet", 5, "fleet: must be str"), ("fleet", None, "fleet: "),
+    ("listen", "nowhere", "listen: must be host:port"), ("listen", "h:0", "listen: must have a port"),
+    ("zone", "z" * 33, "zone: must have at most 32"), ("join", ["x"], r"join\[0\]: must be host:port"),
+    ("join", "x", "join: must be list"), ("via", {"a:1": 5}, "via.a:1: must be str"),
+    ("period_ms", 1, "period_ms: must be 20"),
+    ("remember_ms", "x", "remember_ms: must be float"), ("members_max", 1.5, "members_max: must be int"),
+    ("advertise", "ws://a:1/x", "advertise: must be host:port"), ("electorate", 3, "electorate: unknown key"),
+])
+def test_faults_name_the_key_and_do_not_fit_the_schema(key: str, value: object, text: str) -> None:
+    raw = FILE | {key: value}
+    with pytest.raises(ConfigError, match=r"cluster\.json: " + text):
+        read_cluster(raw)
+    with pytest.raises(jsonschema.ValidationError):
+        jsonschema.validate(raw, SCHEMA)
+
+
+def test_a_faulty_clock_leaps_and_drifts_as_its_file_says(tmp_path: Path) -> None:
+    path, inner = tmp_path / "clock.json", SetClock(0.0)
+    clock = FaultyClock(inner, path)
+    inner.advance(100.0)
+    assert clock.now() == 100.0
+    path.write_bytes(b'{"speed": 2.0, "jumped_ms": -50}')
+    assert clock.now() == 50.0
+    inner.advance(10.0)
+    assert clock.now() == 70.0
+    path.write_bytes(b"torn")
+    inner.advance(10.0)
+    assert clock.now() == 90.0
+
+
+def test_an_audit_ends_at_its_size_and_a_bad_folder_ends_nothing(tmp_path: Path) -> None:
+    file = AuditFile(tmp_path / "audit", 50)
+    for _ in range(9):
+        file.write({"row": "0123456789"})
+    assert (tmp_path / "audit").read_bytes().count(b"\n") == 2
+    AuditFile(tmp_path / "none" / "audit", 50).write({})
+
+
+def test_a_port_that_an_old_process_still_has_is_taken_when_it_is_free() -> None:
+    async def run() -> None:
+        port, clock = free_ports(1)[0], SetClock(0.0)
+        config = read_cluster({"fleet": "f", "listen": f"127.0.0.1:{port}"})
+        old, new = (Fleet(clock, Limits(), config, "a", 1, lambda size: None) for _ in range(2))
+        await old.start()
+        await new.start()
+        clock.advance(1500.0)
+        assert old.view.me.incarnation == 1 and new.link.transport is None
+        old.close()
+        for _ in range(200):
+            clock.advance(200.0)
+            await asyncio.sleep(0.005)
+            if new.view.me.incarnation:
+                break
+        assert new.link.transport is not None and new.view.me.incarnation == 1
+        assert "a (this one)" in table(new.show().partition("\n")[0])
+        new.close()
+
+    asyncio.run(run())
+    with pytest.raises(ConfigError, match="name: must have 1 to 64"):
+        Fleet(SetClock(), Limits(), read_cluster(FILE), "", 1, lambda size: None)
+
+
+def test_a_process_that_never_ends_its_exchange_holds_up_nobody() -> None:
+    async def run() -> None:
+        port = free_ports(1)[0]
+        config = read_cluster({"fleet": "f", "listen": f"127.0.0.1:{port}"})
+        fleet = Fleet(SetClock(0.0), Limits(cluster_exchanges=2, cluster_exchange_ms=100.0), config, "a", 1, print)
+        await fleet.start()
+        silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+        assert await asyncio.wait_for(silent[2][0].read(), 10) == b""  # refused: two are open
+        huge = b"\xff\xff\xff\xff"
+        assert [await asyncio.wait_for(reader.read(), 10) for reader, _ in silent[:2]] == [b"", b""]  # in vain
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(huge)
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await asyncio.wait_for(reader.readexactly(1), 10)
+        assert fleet.link.unreadable == 1
+        fleet.close()
+        for _, one in [*silent, (reader, writer)]:
+            one.close()
+
+    asyncio.run(run())
+
+
+def test_the_address_of_the_shipped_example_is_its_own() -> None:
+    config = read_cluster(FILE)
+    assert config.listen == Address("127.0.0.1", 7946) and config.audit is None and config.faults is None
+
+
+def test_fault_steps_come_in_order() -> None:
+    from sageweir.lab.faults.script import last_end, steps
+
+    script = [Fault(2, "cut", ("a",), ("b",), 3), Fault(1, "kill", ("a",))]
+    assert [(at, fault.do, begins) for at, fault, begins in steps(script)] == [
+        (1, "kill", True), (2, "cut", True), (5, "cut", False)]
+    assert last_end(script) == 5
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -38,6 +38,7 @@
     config = read(EXAMPLE, {"NODE_NAME": "n7"})
     assert config.name == "n7" and config.listen == Address("127.0.0.1", 3868) and config.feed is None
     assert config.limits.guard_ms == 300.0 and config.limits.max_attempts == 6
+    assert config.limits.stop_standing_ms == 9000.0 + 700.0 - 150.0  # calls that stand live as long as the process may
     assert [item.entry.name for item in config.known[0].listed] == ["toy-0", "toy-1"]
     assert config.report_fields == ("idle", "circuits", "reduce")
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -274,3 +274,20 @@
             gateway.wait(100.0)
         sums.append(gateway.brain.fresh)
     assert sums[0] > 0 and sums[1] == pytest.approx(sums[0], rel=0.05)
+
+
+def test_the_live_count_goes_before_the_settings_and_joins_cut_cold_parts_at_once() -> None:
+    """Guards against parts of what all share that follow from how many there once were."""
+    gateway = Gateway([server("a", 0), server("b", 1, started_ms=1.0)], cold_ms=1e9)
+    gateway.steady(4.0, "a", rate=20.0)
+    gateway.call("x", first=1)
+    before = gateway.brain.servers["b"].cold.rate
+    gateway.tell(api.FleetSize(16))  # four were configured
+    assert gateway.brain.part(0, 1.0) == 1 / 16
+    gateway.call("y", first=1)
+    assert gateway.brain.servers["b"].cold.rate == pytest.approx(before / 4)
+    gateway.tell(api.FleetSize(8))  # deaths add nothing by themselves
+    gateway.call("z", first=1)
+    assert gateway.brain.servers["b"].cold.rate == pytest.approx(before / 4)
+    gateway.steady(10.0, "a", rate=20.0)
+    assert gateway.brain.joined > 0.99
