Keep a connection on which a request lies unread when room is made for others

Left: CallerSide._shed, which closes what looks idle, also where the next request lies unread in the system's buffer. Change: one with unread bytes is passed over if something was taken on it before; a line says so.

--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -334,7 +334,11 @@
 
     def _shed(self, idle: list[CallerConnection], last: CallerConnection) -> None:
         # Guards against a flood of connections that pushes good callers out: who had a call goes last.
-        victim = min(idle, key=lambda c: (c.served, c.spoke, c.heard_at), default=last)
+        # Guards too against a request that lies unread on a connection which looks idle, and would be lost with it.
+        order = sorted(idle, key=lambda c: (c.served, c.spoke, c.heard_at))
+        victim = next((c for c in order if not (c.spoke and c.unread())), last)
+        if order and victim is not order[0]:
+            log.info("%s: kept, as a request lies unread there", order[0].peer)
         log.warning("%s: closed, %d connections are open", victim.peer, len(self.connections))
         victim.end("too many connections")
         self.connections.pop(victim, None)
--- a/sageweir/net/connection.py
+++ b/sageweir/net/connection.py
@@ -117,7 +117,10 @@
         if sock is None:
             return False
         count = array.array("i", [0])
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+        try:
+            fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+        except OSError:  # not every system can tell
+            return False
         return count[0] > 0
 
     # Writing
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -29,6 +29,7 @@
 from sageweir.lifecycle import Fate, Lifecycle, Phase, Use
 from sageweir.limits import Limits
 from sageweir.net.admin import AdminSide
+from sageweir.net.callers import CallerSide
 from tests.scenario import World, play
 from tests.test_program import EXAMPLE, ROOT, Ends, exchange, free_port
 
@@ -532,3 +533,35 @@
 
     def get_write_buffer_size(self) -> int:
         return 10
+
+
+@pytest.mark.parametrize(("rows", "victim"), [
+    ([("quiet", False, False, False), ("spoke", True, False, False)], "quiet"),
+    ([("quiet", False, False, True), ("spoke", True, False, False)], "quiet"),  # nothing was taken there before
+    ([("spoke", True, False, True), ("served", True, True, False)], "served"),
+    ([("spoke", True, False, True), ("served", True, True, True)], "new"),
+])
+def test_a_flood_does_not_close_a_connection_with_an_unread_request(
+        rows: list[tuple[str, bool, bool, bool]], victim: str) -> None:
+    """Guards against a caller's next request that lies unread on a connection which is closed as idle: it is lost."""
+    ended: list[str] = []
+
+    class Stub:
+        open: set[str] = set()  # noqa: RUF012
+        standing: set[str] = set()  # noqa: RUF012
+        heard_at = 0.0
+
+        def __init__(self, name: str, spoke: bool, served: bool, unread: bool) -> None:
+            self.peer, self.spoke, self.served, self.held = name, spoke, served, unread
+
+        def unread(self) -> bool:
+            return self.held
+
+        def end(self, why: str) -> None:
+            ended.append(self.peer)
+
+    side: Any = CallerSide(SetClock(), Limits(caller_connections=len(rows)), exchange(Ends())[0], Lifecycle(LIMITS))
+    for row in rows:
+        side.connections[Stub(*row)] = None
+    side.opened(Stub("new", False, False, False))
+    assert ended == [victim]
