--- a/sageweir/cluster/view.py
+++ b/sageweir/cluster/view.py
@@ -106,6 +106,7 @@
     asked: int = 0  # helpers
     nacks: int = 0
     acked: bool = False
+    void: bool = False  # this member stood still meanwhile: it tells nothing
 
 
 @dataclass(slots=True)
@@ -195,7 +196,7 @@
         self.health.note(1)
         self._note(self.me.name, self.me.state, self.me, f"{STOOD} for {late:.0f} ms")
         for probe in self._probes.values():
-            probe.acked = True  # its answer may have come and gone
+            probe.void = True  # its answer may have come and gone
         least = self.tuning.least(self._living)
         for name, member in self.members.items():
             if member.suspicion is not None:
@@ -260,6 +261,8 @@
         """A probe is over."""
         del self._probes[probe.number]
         member = self.members.get(probe.target)
+        if probe.void:
+            return
         if probe.acked or member is None:
             self.health.note(-1)
             return
@@ -301,7 +304,7 @@
 
     def _ask_helpers(self, probe: Probe) -> None:
         member = self.members.get(probe.target)
-        if probe.acked or member is None:
+        if probe.acked or probe.void or member is None:
             return
         helpers = self._pick(self.tuning.helpers, probe.target)
         probe.asked = len(helpers)
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -194,6 +195,21 @@
         assert not found and took is not None, f"seed {seed}: {found[:5]}\n{dump(script)}"
 
 
+def test_a_hundred_join_within_a_second_and_loss_goes_on_for_minutes() -> None:
+    names = [f"m{i}" for i in range(108)]
+    sim = Simulator(names, 6, TUNING)
+    for name in names[:8]:
+        sim.start(name)
+    assert sim.until_alike(20.0) is not None
+    for name in names[8:]:
+        sim.after(sim.draw.uniform(0.0, 1000.0), partial(sim.start, name))
+    assert sim.until_alike(25.0) is not None and not sim.verdict()
+    script = [Fault(1, do, tuple(NAMES), tuple(NAMES), 600.0, size)  # five minutes at the usual period
+              for do, size in (("lose", 0.2), ("reorder", 0.2), ("double", 0.2))]
+    found, took = play_seed(9, len(NAMES), TUNING, script)
+    assert not found and took is not None
+
+
 def test_scripts_are_printed_and_played_again() -> None:
     script = draw_script(5, NAMES, [NAMES[::2], NAMES[1::2]], 40.0)
     assert load(dump(script)) == script
