Duties by lease: the pure core of electors, seekers and fences, with a simulator

Need: what only one may do (cold starts, probing, publishing) is done by each for itself, or by nobody. Wired to nothing yet; nothing of it is loaded by a controller. Seen and mended: two holders at once where a clock went back below 0 (a lease that is over was noted as 0 ms); a handing on that took 126 ms at 11 ms a round trip, as the holder's word to the electors came after the next one's question.

--- /dev/null
+++ b/sageweir/cluster/duties/elector.py
@@ -0,0 +1,172 @@
+"""One elector: to whom it has promised which duty, and until when. Pure; the clock is monotonic, ms, handed in.
+
+It binds itself to one seeker a duty at a time, and to terms that only grow. Any two majorities share an elector, so
+that no two seekers hold a duty at once, and a later holder's term is higher.
+
+What it promised before a restart is never trusted to be known: it stays out until every lease that it may have granted
+is over, and until it has asked the others for their terms. Its disk counts only where nobody's memory outlived it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from sageweir.cluster.duties.messages import JUMP, Ask, Free, Memory, Recall, Say
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """lease_ms: of all duties; drift: bound on how much faster or slower a clock runs, as a part of its speed."""
+
+    lease_ms: float = 3000.0
+    drift: float = 0.05
+
+    @property
+    def held(self) -> float:
+        """How long a holder may act, by its own clock, from before it asked."""
+        return self.lease_ms * (1 - self.drift)
+
+    @property
+    def bound(self) -> float:
+        """How long an elector is bound, by its own clock, from after it granted."""
+        return self.lease_ms * (1 + self.drift)
+
+
+@dataclass(slots=True)
+class Promise:
+    """Of one duty."""
+
+    term: int = 0
+    seeker: str = ""
+    boot: int = 0
+    until: float = 0.0  # bound so long
+    next: str = ""  # kept for whom, after it was handed on
+
+
+@dataclass(slots=True)
+class Kept:
+    """Terms that must be on the disk before the answer goes out."""
+
+    terms: dict[str, int] = field(default_factory=dict)
+
+
+class Elector:
+    """Messages in, answers out. Each answer to an Ask that granted must wait until `kept` is written."""
+
+    def __init__(self, name: str, electors: tuple[str, ...], timing: Timing, now: float, boot: int,
+                 disk: Mapping[str, int] | None = None, version: int = 1) -> None:
+        """boot: drawn anew at each start; disk: terms found there, which may be old, None where nothing can be read."""
+        self.boot, self.time, self._clock = boot, 0.0, now
+        self.name, self.electors, self.timing, self.version = name, electors, timing, version
+        self.promises: dict[str, Promise] = {duty: Promise(term) for duty, term in (disk or {}).items()}
+        self.out_until = timing.bound  # every lease granted before this start is over then
+        self.intact = False
+        self.heard: dict[str, Memory] = {}
+
+    @property
+    def majority(self) -> int:
+        return len(self.electors) // 2 + 1
+
+    def _at(self, now: float) -> float:
+        """This elector's own time, which never runs more than half a lease from one event to the next.
+
+        Guards against a clock that leaps ahead, beyond all bounds of drift: what it promised must not seem over. After
+        a stop it is bound for longer than need be, which is safe. To be called far more often than that (look()).
+        """
+        self.time += min(max(0.0, now - self._clock), self.timing.lease_ms / 2)
+        self._clock = now
+        return self.time
+
+    # After a start
+
+    def recall(self) -> list[tuple[str, Recall]]:
+        """Questions to the others; to be asked again as long as it is not intact."""
+        return [] if self.intact else [(one, Recall(self.name, self.boot)) for one in self.electors
+                                       if one != self.name]
+
+    def recalled(self, message: Recall) -> Memory:
+        """What it remembers, for one that has started."""
+        return Memory(self.name, message.number, self.intact, {d: p.term for d, p in self.promises.items()})
+
+    def remember(self, now: float, memory: Memory) -> Kept | None:
+        """Another's answer; what is to be written, once this elector may take part."""
+        # Guards against an answer to an earlier start, which is older than what was promised since.
+        asked = memory.number == self.boot and memory.elector in self.electors and memory.elector != self.name
+        if not self.intact and asked:
+            self.heard[memory.elector] = memory
+        return self.look(now)
+
+    def look(self, now: float) -> Kept | None:
+        """Whether it may take part now; ask again later if not."""
+        if self._at(now) < self.out_until or self.intact or not self._knows_enough():
+            return None
+        self.intact = True
+        self.heard.clear()
+        return Kept({duty: promise.term for duty, promise in self.promises.items()})
+
+    def _knows_enough(self) -> bool:
+        intact = [memory for memory in self.heard.values() if memory.intact]
+        if len(intact) >= self.majority:
+            # Any term that a majority granted is remembered by one of these: this elector alone is missing there.
+            self._raise(intact, 0)
+            return True
+        if len(self.heard) + 1 >= self.majority:
+            # Guards against disks that went back in time while no memory outlived them: far above all that is left.
+            self._raise(list(self.heard.values()), JUMP)
+            return True
+        return False
+
+    def _raise(self, memories: list[Memory], by: int) -> None:
+        for memory in memories:
+            for duty, term in memory.terms.items():
+                promise = self.promises.setdefault(duty, Promise())
+                promise.term = max(promise.term, term)
+        for promise in self.promises.values():
+            promise.term += by
+
+    # In service
+
+    def ask(self, now: float, ask: Ask) -> Say:
+        """Grant, or say why not. Where it grants, its terms are to be written first."""
+        now = self._at(now)
+        promise = self.promises.setdefault(ask.duty, Promise())
+        if ask.freed_by and (promise.term, promise.seeker, promise.boot) == (ask.freed, ask.freed_by, ask.freed_boot):
+            promise.until, promise.next = min(promise.until, now), ""  # its own word may come later, or never
+        mine = promise.seeker == ask.seeker and promise.boot == ask.boot
+        bound = promise.seeker != "" and now < promise.until
+        fits = ask.term > promise.term or (mine and ask.term == promise.term and bound and not promise.next)
+        kept_for = bound and promise.next == ask.seeker
+        granted = (self.intact and ask.version >= self.version and fits and (not bound or mine or kept_for)
+                   and not (mine and promise.next and bound))
+        if granted and not ask.dry:
+            promise.term, promise.seeker, promise.boot, promise.next = ask.term, ask.seeker, ask.boot, ""
+            promise.until = now + self.timing.bound
+        wait = max(0.0, promise.until - now) if bound and not mine else 0.0
+        if not self.intact:
+            wait = max(wait, self.out_until - now, 0.0)
+        return Say(ask.duty, ask.term, self.name, ask.number, granted, promise.term, wait,
+                   promise.next or promise.seeker if bound else "", self.version)
+
+    def free(self, now: float, free: Free) -> None:
+        """A term comes back; where it is handed on the duty is kept a moment for whom it goes to."""
+        now = self._at(now)
+        promise = self.promises.get(free.duty)
+        if promise is None or (promise.term, promise.seeker, promise.boot) != (free.term, free.seeker, free.boot):
+            return
+        if free.next and now < promise.until:
+            promise.next = free.next
+            promise.until = min(promise.until, now + self.timing.lease_ms / 4)
+        else:
+            promise.until = min(promise.until, now)
+
+    def terms(self) -> Kept:
+        """What the disk must hold before a grant is told."""
+        return Kept({duty: promise.term for duty, promise in self.promises.items()})
+
+    def install(self, electors: tuple[str, ...], version: int) -> bool:
+        """Another list of electors, one more or one fewer, told by the operator. False where it is no such step."""
+        if version <= self.version or len(set(electors) ^ set(self.electors)) != 1:
+            return False
+        self.electors, self.version = electors, version
+        return True
--- /dev/null
+++ b/tests/test_cluster_duties.py
@@ -0,0 +1,336 @@
+"""Duties that only one holds: electors and seekers, seeds in virtual time, planted faults that must be found."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from sageweir.cluster.duties.elector import Elector, Kept, Timing
+from sageweir.cluster.duties.fence import Fence
+from sageweir.cluster.duties.messages import JUMP, Ask, Free, Hand, Memory, Say
+from sageweir.cluster.duties.seeker import Round, Seeker, Stage
+from sageweir.lab.dutysim import DUTY, DutySimulator, play_duties
+from sageweir.lab.faults.script import Fault, dump, partition
+
+TIMING = Timing()
+NAMES = ("e0", "e1", "e2")
+
+
+def elector(intact: bool = True, disk: dict[str, int] | None = None) -> Elector:
+    one = Elector("e0", NAMES, TIMING, 0.0, 5, disk)
+    if intact:
+        one.intact = True
+    return one
+
+
+def ask(term: int, seeker: str = "a", boot: int = 1, dry: bool = False, version: int = 1) -> Ask:
+    return Ask("d", term, seeker, boot, 9, version, dry)
+
+
+def run_to(one: Elector, now: float) -> None:
+    """Let its time pass in small steps, as its ticks do."""
+    for i in range(1, 101):
+        one.look(now * i / 100)
+
+
+# An elector
+
+def test_an_elector_binds_itself_to_one_seeker_and_to_terms_that_grow() -> None:
+    one = elector()
+    assert one.ask(0.0, ask(1)).granted and one.ask(1.0, ask(1)).granted  # asked again, or renewed
+    other = one.ask(2.0, ask(2, "b"))
+    assert not other.granted and other.holder == "a" and other.wait_ms > TIMING.lease_ms
+    assert not one.ask(2.0, ask(1, boot=2)).granted  # the same name, another life
+    run_to(one, TIMING.bound + 10)
+    assert not one.ask(TIMING.bound + 10, ask(1)).granted  # over is over, for the same seeker too
+    assert not one.ask(TIMING.bound + 10, ask(1, "b")).granted
+    assert one.ask(TIMING.bound + 10, ask(2, "b", dry=True)).granted and one.promises["d"].term == 1
+    assert one.ask(TIMING.bound + 10, ask(2, "b")).granted
+
+
+def test_a_clock_that_leaps_does_not_end_what_an_elector_promised() -> None:
+    one = elector()
+    assert one.ask(0.0, ask(1)).granted
+    assert not one.ask(3_600_000.0, ask(2, "b")).granted
+    assert not one.ask(-3_600_000.0, ask(2, "b")).granted
+
+
+def test_a_duty_that_is_handed_on_is_kept_for_the_next() -> None:
+    one = elector()
+    one.ask(0.0, ask(1))
+    one.free(10.0, Free("d", 1, "a", 1, "b"))
+    assert not one.ask(20.0, ask(2, "c")).granted and not one.ask(20.0, ask(2, "a")).granted
+    assert one.ask(20.0, ask(2, "b")).granted
+    one.free(30.0, Free("d", 1, "a", 1))  # late, and of a term that is over
+    assert not one.ask(40.0, ask(3, "c")).granted
+
+
+def test_after_a_start_it_stays_out_until_its_promises_are_over_and_it_knows_the_terms() -> None:
+    one = elector(intact=False, disk={"d": 3})
+    assert not one.ask(0.0, ask(9)).granted
+    assert one.remember(1.0, Memory("e1", 5, True, {"d": 7})) is None
+    assert one.remember(1.0, Memory("e2", 5, True, {"x": 1})) is None  # too early still
+    assert one.remember(1.0, Memory("e2", 4, True, {"d": 99})) is None  # an answer to an earlier start
+    run_to(one, TIMING.bound + 10)
+    assert one.intact and one.promises["d"].term == 7 and one.promises["x"].term == 1
+    assert not one.ask(TIMING.bound + 11, ask(7)).granted and one.ask(TIMING.bound + 11, ask(8)).granted
+
+
+def test_where_nobody_remembers_terms_go_far_above_what_is_left_on_disks() -> None:
+    one = elector(intact=False, disk={"d": 3})
+    run_to(one, TIMING.bound + 10)
+    assert not one.intact  # alone it knows nothing
+    kept = one.remember(TIMING.bound + 20, Memory("e1", 5, False, {"d": 5}))
+    assert kept == Kept({"d": 5 + JUMP})
+
+
+def test_electors_change_one_at_a_time_and_refuse_who_knows_the_old_list() -> None:
+    one = elector()
+    assert not one.install(("e0", "e3", "e4"), 2) and not one.install((*NAMES, "e3"), 1)
+    assert one.install((*NAMES, "e3"), 2) and one.majority == 3
+    assert not one.ask(0.0, ask(1, version=1)).granted and one.ask(0.0, ask(1, version=2)).granted
+
+
+def test_a_fence_refuses_lower_terms_and_names_both() -> None:
+    fence = Fence()
+    assert fence.admits("d", 3) == "" and fence.admits("d", 3) == "" and fence.admits("x", 1) == ""
+    assert fence.admits("d", 2) == "d: term 2 is over, 3 was seen"
+
+
+# A seeker
+
+def test_a_holder_counts_from_before_it_asked_and_a_clock_that_goes_back_ends_it() -> None:
+    one = Seeker("d", "a", 1, NAMES, TIMING, Random(1))
+    one.start(0.0)
+    (_, sounding), *_ = one.wake(1000.0)
+    assert isinstance(sounding, Ask) and sounding.dry and sounding.term == 1
+    for name in NAMES[:2]:
+        asked = one.said(1010.0, Say("d", 1, name, sounding.number, True, 0))
+    assert one.stage is Stage.ASKING and len(asked) == 3
+    number = asked[0][1].number  # type: ignore[union-attr]
+    one.said(2000.0, Say("d", 1, "e0", number, True, 1))
+    assert one.holds(2000.0) is None
+    one.said(2000.0, Say("d", 1, "e2", number, True, 1))
+    assert one.holds(2000.0) == 1 and one.until == 1010.0 + TIMING.held
+    assert one.holds(1010.0 + TIMING.held) is None
+    one.said(2100.0, Say("d", 1, "e1", number, True, 1))
+    one.until = 1e9
+    assert one.holds(5000.0) == 1 and one.holds(100.0) is None and one.holds(5100.0) is None
+
+
+# Seeds, and what must be found
+
+@pytest.mark.parametrize("electors", [3, 5])
+def test_seeds(electors: int) -> None:
+    for seed in range(30):
+        found = play_duties(seed, electors, electors + 2)
+        assert not found["found"] and found["back_ms"] is not None, \
+            f"seed {seed}: {found['found']}\n{dump(found['script'])}"
+
+
+class GrantsTwice(Elector):
+    """Does not look to whom it is bound."""
+
+    def ask(self, now: float, ask: Ask) -> Say:
+        if (promise := self.promises.get(ask.duty)) is not None:
+            promise.until = 0.0
+        return super().ask(now, ask)
+
+
+class EqualTerm(Elector):
+    """Grants a term that it has promised before."""
+
+    def ask(self, now: float, ask: Ask) -> Say:
+        promise = self.promises.get(ask.duty)
+        if promise is not None and promise.term == ask.term and self.time >= promise.until:
+            promise.term -= 1
+        return super().ask(now, ask)
+
+
+class NoWait(Elector):
+    """Takes part at once after a start."""
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        self.out_until = 0.0
+
+
+class NoRecall(Elector):
+    """Trusts its disk after a start, whatever it is."""
+
+    def _knows_enough(self) -> bool:
+        return True
+
+
+class ShortBound(Elector):
+    """Is bound for less than the lease."""
+
+    def ask(self, now: float, ask: Ask) -> Say:
+        say = super().ask(now, ask)
+        if say.granted and not ask.dry:
+            self.promises[ask.duty].until = self.time + self.timing.lease_ms / 3
+        return say
+
+
+class FreesAnybody(Elector):
+    """Takes a term back from whoever says so."""
+
+    def free(self, now: float, free: Free) -> None:
+        promise = self.promises.get(free.duty)
+        if promise is not None:
+            promise.until = 0.0
+
+
+class LeapsAlong(Elector):
+    """Goes by its clock, wherever that leaps."""
+
+    def _at(self, now: float) -> float:
+        self.time += max(0.0, now - self._clock)
+        self._clock = now
+        return self.time
+
+
+class NoJump(Elector):
+    """Where nobody remembers it takes what the disks say."""
+
+    def _raise(self, memories: list[Memory], by: int) -> None:
+        super()._raise(memories, 0)
+
+
+class CountsFromAnswer(Seeker):
+    """Counts its lease from the answer."""
+
+    def _won(self, now: float, won: Round) -> list[Any]:
+        won.asked_at = now
+        return super()._won(now, won)
+
+
+class Minority(Seeker):
+    """Content with one elector less than a majority."""
+
+    @property
+    def majority(self) -> int:
+        return len(self.electors) // 2
+
+
+class NeverLooks(Seeker):
+    """Does not look at its lease before it acts."""
+
+    def holds(self, now: float) -> int | None:
+        return self.term if self.stage in (Stage.HOLDING, Stage.HANDING) else None
+
+
+class OldAnswers(Seeker):
+    """Takes an answer to an earlier question for one to the last."""
+
+    def said(self, now: float, say: Say) -> list[Any]:
+        number = self.round.number if self.round is not None else say.number
+        return super().said(now, Say(say.duty, say.term, say.elector, number, say.granted, say.seen, say.wait_ms,
+                                     say.holder, say.version))
+
+
+class ActsWhileHanding(Seeker):
+    """Tells the next to go on before it stops itself."""
+
+    def _let_go(self, now: float, to: str) -> list[Any]:
+        until, stage = self.until, self.stage
+        out = super()._let_go(now, to)
+        if to:
+            self.until, self.stage = until, stage
+        return out
+
+
+PLANTED: dict[str, dict[str, Any]] = {
+    "grants twice": {"elector": GrantsTwice}, "equal term granted": {"elector": EqualTerm},
+    "no wait after a start": {"elector": NoWait}, "disk trusted": {"elector": NoRecall},
+    "bound too short": {"elector": ShortBound}, "anybody frees": {"elector": FreesAnybody},
+    "leaps of the clock believed": {"elector": LeapsAlong}, "no jump of terms": {"elector": NoJump},
+    "lease counted from the answer": {"seeker": CountsFromAnswer}, "minority": {"seeker": Minority},
+    "lease not looked at": {"seeker": NeverLooks}, "old answers count": {"seeker": OldAnswers},
+}
+
+
+@pytest.mark.parametrize("fault", PLANTED)
+def test_planted_faults_are_found(fault: str) -> None:
+    for seed in range(400):
+        if play_duties(seed, 3, 4, **PLANTED[fault])["found"]:
+            return
+    raise AssertionError("not found")
+
+
+def test_a_holder_that_is_not_done_when_it_hands_on_is_found() -> None:
+    sim = DutySimulator(3, 4, 1, TIMING, seeker=ActsWhileHanding)
+    assert sim.until_held(20_000.0) is not None
+    holder = sim.holder()
+    assert holder is not None
+    to = next(name for name in sim.names if name != holder.name)
+    sim.hand_over(to, b"state")
+    sim.run(200.0)
+    assert sim.found
+
+
+# Handing on, and who is left alone
+
+def test_handing_on_takes_round_trips_and_brings_the_state() -> None:
+    for seed in range(20):
+        sim = DutySimulator(3, 5, seed, TIMING)
+        assert sim.until_held(20_000.0) is not None
+        sim.run(1000.0)
+        holder = sim.holder()
+        assert holder is not None
+        to = sim.names[(sim.names.index(holder.name) + 1) % 5]
+        sim.hand_over(to, b"state")
+        sim.run(500.0)
+        last, new = sim.held[-2:]
+        assert new[2] == to and sim.processes[to].seeker.state == b"state" and not sim.found
+        assert new[0] - last[1] < 5 * 20.0  # five round trips at their longest
+
+
+def test_a_receiver_that_dies_at_any_step_leaves_the_duty_free_for_others() -> None:
+    for late in range(0, 60, 3):
+        sim = DutySimulator(3, 5, late, TIMING)
+        assert sim.until_held(20_000.0) is not None
+        holder = sim.holder()
+        assert holder is not None
+        to = next(name for name in reversed(sim.names) if name != holder.name)
+        sim.hand_over(to)
+        sim.run(float(late))
+        sim.play([Fault(0.0, "kill", (to,))])
+        sim.run(3 * TIMING.lease_ms)
+        assert sim.until_held(3 * TIMING.lease_ms) is not None and not sim.found
+
+
+def test_a_healthy_holder_is_left_alone_by_who_comes_back() -> None:
+    sim = DutySimulator(3, 6, 4, TIMING)
+    assert sim.until_held(20_000.0) is not None
+    holder = sim.holder()
+    assert holder is not None
+    away = tuple(name for name in sim.names if name not in (holder.name, *sim.electors))
+    sim.play(partition(0.0, 60.0, [away, [name for name in sim.names if name not in away]]))
+    sim.run(25_000.0)
+    assert len(sim.held) == 1 and not sim.found
+
+
+def test_a_holder_that_can_send_but_not_hear_steps_down_and_lets_others_have_it() -> None:
+    sim = DutySimulator(3, 5, 8, TIMING)
+    assert sim.until_held(20_000.0) is not None
+    deaf = sim.holder()
+    assert deaf is not None
+    rest = tuple(name for name in sim.names if name != deaf.name)
+    sim.play([Fault(0.0, "cut", rest, (deaf.name,), 100.0)])
+    sim.run(3 * TIMING.lease_ms)
+    now = sim.holder()
+    assert now is not None and now is not deaf and not sim.found
+
+
+def test_a_word_of_another_duty_or_an_old_term_hands_nothing_on() -> None:
+    one = Seeker("d", "a", 1, NAMES, TIMING, Random(1))
+    one.seen = 5
+    assert one.handed(0.0, Hand("x", 9, "b", 1)) == [] and one.handed(0.0, Hand("d", 4, "b", 1, go=True)) == []
+    assert one.hand_over(0.0, "b", b"") == [] and one.resign(0.0) == []
+
+
+def test_the_simulator_judges_by_the_fence() -> None:
+    assert DutySimulator(3, 4, 1, TIMING).fence.highest.get(DUTY) is None
