--- a/tests/test_cluster_fleet.py
+++ b/tests/test_cluster_fleet.py
@@ -101,7 +101,7 @@
 
 
 async def planted(case: str) -> None:
-    """The rig's own check: a member that a lie killed for good is found missing, and the script is printed."""
+    """The rig's own check: with a cut that does not end, waiting for a settled view ends in Missed."""
     async with FleetRig(NAMES[:3]) as rig:
         await rig.until_alike(PERIODS)
         await rig.play(partition(0, 40, [NAMES[:1], NAMES[1:3]])[:1])
