--- a/sageweir/cluster/duties/elector.py
+++ b/sageweir/cluster/duties/elector.py
@@ -4,7 +4,7 @@
 that no two seekers hold a duty at once, and a later holder's term is higher.
 
 What it promised before a restart is never trusted to be known: it stays out until every lease that it may have granted
-is over, and until it has asked the others for their terms. Its disk counts only where nobody's memory outlived it.
+is over, and then until it has asked the others for their terms. Its disk counts only where nobody's memory outlived it.
 """
 
 from __future__ import annotations
@@ -80,10 +80,13 @@
 
     # After a start
 
-    def recall(self) -> list[tuple[str, Recall]]:
+    def recall(self, now: float) -> list[tuple[str, Recall]]:
         """Questions to the others; to be asked again as long as it is not intact."""
-        return [] if self.intact else [(one, Recall(self.name, self.boot)) for one in self.electors
-                                       if one != self.name]
+        # Guards against a grant from before this start that wins together with one that another gives after it told
+        # what it remembers: nobody is asked before no such grant can count any more.
+        if self.intact or self._at(now) < self.out_until:
+            return []
+        return [(one, Recall(self.name, self.boot)) for one in self.electors if one != self.name]
 
     def recalled(self, message: Recall) -> Memory:
         """What it remembers, for one that has started."""
@@ -93,7 +96,7 @@
         """Another's answer; what is to be written, once this elector may take part."""
         # Guards against an answer to an earlier start, which is older than what was promised since.
         asked = memory.number == self.boot and memory.elector in self.electors and memory.elector != self.name
-        if not self.intact and asked:
+        if not self.intact and asked and self._at(now) >= self.out_until:
             self.heard[memory.elector] = memory
         return self.look(now)
 
@@ -111,7 +114,8 @@
             # Any term that a majority granted is remembered by one of these: this elector alone is missing there.
             self._raise(intact, 0)
             return True
-        if len(self.heard) + 1 >= self.majority:
+        patient = self.time < self.out_until + self.timing.lease_ms / 4  # the others may answer yet
+        if len(self.heard) + 1 >= self.majority and not patient:
             # Guards against disks that went back in time while no memory outlived them: far above all that is left.
             self._raise(list(self.heard.values()), JUMP)
             return True
--- a/sageweir/cluster/duties/seeker.py
+++ b/sageweir/cluster/duties/seeker.py
@@ -53,6 +53,7 @@
         self.next = ""
         self.failures = self.eager = 0  # tries in vain; quick tries that are left, after the duty was handed to it
         self.freed = (0, "", 0)  # the term that was handed to it, whose it was, and that one's boot
+        self.taken = 0  # the latest term that was handed to it, or was to be
         self._last = NEVER  # the latest time seen
         self._at = 0.0  # when to do the next thing
         self._number = draw.getrandbits(32)
@@ -112,6 +113,9 @@
     def _question(self, now: float, dry: bool) -> list[Out]:
         self.term = self.seen + 1 if dry else self.term
         self.stage = Stage.SOUNDING if dry else Stage.ASKING
+        if not dry:
+            # Guards against asking for a term again that was given up: what frees it may arrive later.
+            self.seen = max(self.seen, self.term)
         return self._ask(now, dry, self.timing.lease_ms / 4)
 
     def _ask(self, now: float, dry: bool, patience: float) -> list[Out]:
@@ -193,9 +197,10 @@
         if hand.back:
             mine = self.stage is Stage.HANDING and hand.term == self.term and hand.seeker == self.next
             return self._let_go(now, self.next) if mine else []
-        if self.stage in (Stage.HOLDING, Stage.HANDING) or not self.wants or hand.term < self.seen:
+        # Guards against words that come late. Terms that were only asked for, by whomever, may be higher.
+        if self.stage in (Stage.HOLDING, Stage.HANDING) or not self.wants or hand.term < self.taken:
             return []
-        self.seen = max(self.seen, hand.term)
+        self.taken, self.seen = hand.term, max(self.seen, hand.term)
         if not hand.go:
             self.state = hand.state
             return [(hand.seeker, Hand(self.duty, hand.term, self.name, self.boot, back=True))]
--- a/sageweir/cluster/view.py
+++ b/sageweir/cluster/view.py
@@ -153,7 +153,7 @@
         self._probes: dict[int, Probe] = {}
         self._errands: dict[int, Errand] = {}
         self._rival: Rival | None = None
-        self._met_at = -1e12
+        self._met_at = self._displaced_at = -1e12
         self._out: list[Action] = []
         self._met = False  # another member
         self._joining = 0  # periods so far without a claim to the name
@@ -394,6 +394,7 @@
             pass
         elif not self._new(packet):
             self.dropped["replayed"] += 1
+            self._tell_displaced(source)
         else:
             self._met = True
             self._heard(source)
@@ -410,10 +411,23 @@
         if member is None:
             return True
         if boot in member.past:
-            return False
+            # A name that two processes have: the earlier one may have taken a higher claim meanwhile.
+            return packet.source.incarnation > member.record.incarnation
         # Another boot is a new life that does not know of the last one yet.
         return member.counted != boot or packet.count > member.newest - self.tuning.behind
 
+    def _tell_displaced(self, source: Record) -> None:
+        """A process that was stopped may not know that its name is another's by now: it is told, once a period."""
+        member = self.members.get(source.name)
+        if member is None or source.boot not in member.past or not member.record.living \
+                or self.time - self._displaced_at < self.tuning.period_ms:
+            return
+        self._displaced_at = self.time
+        self._number += 1
+        news = (News(member.record, member.by),)
+        packet = Packet(self.fleet, Kind.NEWS, self.me, self._number, 0, self.digest, source.name, news)
+        self._out.append(Post("", source.host, source.port, packet))
+
     def _count_up(self, source: Record, count: int) -> None:
         member = self.members.get(source.name)
         if member is not None and member.record.boot == source.boot:
--- a/sageweir/lab/dutysim.py
+++ b/sageweir/lab/dutysim.py
@@ -151,7 +151,7 @@
             return
         now, elector = self.clock(process), process.elector
         if elector is not None:
-            self._to(process, lambda: list(elector.recall()))
+            self._to(process, lambda: list(elector.recall(now)))
             if (kept := elector.look(now)) is not None:
                 self._write(process, kept.terms)
         self._to(process, lambda: process.seeker.wake(now))
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -363,3 +363,12 @@
     assert [(at, fault.do, begins) for at, fault, begins in steps(script)] == [
         (1, "kill", True), (2, "cut", True), (5, "cut", False)]
     assert last_end(script) == 5
+
+
+@pytest.mark.parametrize("seed", [920, 353, 2414])
+def test_a_process_whose_name_was_taken_while_it_was_cut_off_or_stopped_soon_finds_out(seed: int) -> None:
+    """Its datagrams were dropped as those of an earlier life, without a word: up to 64 periods went by."""
+    script = draw_script(seed, NAMES, [NAMES[::2], NAMES[1::2]], 40.0)
+    assert any(fault.do == "twin" for fault in script)
+    found, took = play_seed(seed, 8, Tuning(remember_ms=60_000.0), script, quiet=100.0)
+    assert not found and took is not None and took <= 10.0, f"{took}: {found}\n{dump(script)}"
