--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -42,6 +42,7 @@
 LOW_WORTH = 0.1  # rank of calls to a busy number or over a share, as a part of their class's
 PEERS_TOLD, PEER_WEIGHT = 2, 0.1  # told each run, drawn by seed; weight of what one tells in the mean
 TICK_MS = 20.0  # looks at waiting calls
+PROBED_MS = 1500.0  # no trial calls so long after another has told that its own stay unanswered
 STALL_MS = 100.0  # an own timer so late shows that this gateway stood still
 CONTROL_TIMER, WAIT_TIMER = 1, 2
 BAD = (api.Outcome.TIMED_OUT, api.Outcome.CONNECT_FAILED, api.Outcome.RESET, api.Outcome.FULL)
@@ -106,6 +107,7 @@
         self.errors = 0.0  # smoothed share of errors among its answers
         self.passed = -inf  # when the latest sent of all answered attempts was sent
         self.cold = Bucket(now, 0.0)  # of all classes while the server is cold
+        self.part = 0.0, -inf  # of its ramp, as given out for all, 1/s; when that ends
 
     def erring(self) -> bool:
         """Errors are so many that they are the server's own, not those of the calls."""
@@ -206,6 +208,12 @@
                 self.hear(text)
             case api.FleetSize(members):
                 self.resized(members)
+            case api.ColdPart(server, rate, lasts) if server in self.servers:
+                self.servers[server].part = rate, now_ms + lasts
+            case api.Probed(server, silent, since) if server in self.servers:
+                view, wait = self.servers[server], PROBED_MS if silent else self.skip_ms * self.random.random()
+                if view.passed < since:  # hearsay bars nothing that has answered here meanwhile
+                    view.closed_until = now_ms + wait
             case api.TimerFired(timer) if timer == CONTROL_TIMER:
                 self.control(now_ms)
             case api.TimerFired(timer) if timer == WAIT_TIMER:
@@ -394,12 +402,16 @@
             return True
         # Guards against the sum of many gateways: no first token; less than one buys that chance of a send.
         part = COLD_PART * warmth * min(1.0, self.settings.fall_multiple / UNEVEN)
-        cold.rate = part * self.joined * max(self.fresh, self.named.get(view.entry.number, Flow()).rate)
+        cold.rate = view.part[0] if now < view.part[1] else part * self.joined * self.demand(view)
         cold.depth_ms = max(0.0, FALL_PART * self.settings.fall_multiple - COLD_PART) * self.settings.fall_ms
         cold.fill(now)
         chance, cold.tokens = cold.tokens, max(0.0, cold.tokens - 1)
         return self.random.random() < chance
 
+    def demand(self, view: ServerView) -> float:
+        """Set-ups a second that a warm server would get: those that name it, or first tries' even part."""
+        return max(self.fresh, self.named.get(view.entry.number, Flow()).rate)
+
     def send(self, call: CallState, view: ServerView, now: float) -> None:
         bucket, name = view.buckets[call.bucket], call.request.call
         bucket.tokens, bucket.sent.new = bucket.tokens - 1, bucket.sent.new + 1
--- a/dahliabridge/interface.py
+++ b/dahliabridge/interface.py
@@ -223,6 +223,24 @@
     members: int
 
 
+@dataclass(frozen=True, slots=True)
+class ColdPart:
+    """This gateway's part of a cold server's ramp, set-ups a second, as one gateway gives them out for all; it ends."""
+
+    server: str
+    rate: float
+    lasts_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """One gateway tests a server for all: silent since then as far as it is known, or back since then; ms."""
+
+    server: str
+    silent: bool
+    since_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer set by SetTimer is due."""
@@ -232,7 +250,7 @@
 
 Event = (
     ListChange | ListLost | SetupRequest | CallerGone | Answered | AttemptEnded
-    | ServerReport | PeerMessage | FleetSize | TimerFired
+    | ServerReport | PeerMessage | FleetSize | ColdPart | Probed | TimerFired
 )
 
 
--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -10,12 +10,12 @@
 import zlib
 from collections.abc import Awaitable
 
-from sageweir.clock import Clock, MonotonicClock, SystemClock
+from sageweir.clock import SystemClock
 from sageweir.config import Address, Config, ConfigError, load
 from sageweir.counters import show
 from sageweir.exchange import Exchange
 from sageweir.lifecycle import Lifecycle
-from sageweir.net.admin import AdminSide, Command, granted
+from sageweir.net.admin import AdminSide, Call, Command, granted
 from sageweir.net.callers import CallerSide
 from sageweir.net.feed import FeedClient
 from sageweir.net.jsonlines import JsonLines
@@ -57,18 +57,17 @@
         "drain": lambda: granted(lifecycle.drain(clock.now())),
         "resume": lambda: granted(lifecycle.resume(clock.now())),
     }
-    fleet = None
+    fleet, calls = None, dict[str, Call]()
     if config.cluster is not None:
         # Only here: on the platform controllers share nothing, and none of it is loaded.
-        from sageweir.cluster.faulty import FaultyClock
-        from sageweir.cluster.member import Fleet
+        from sageweir.cluster.join import join
 
-        beat: Clock = MonotonicClock(loop)
-        if config.cluster.faults is not None:
-            beat = FaultyClock(beat, config.cluster.faults)
-        fleet = Fleet(beat, limits, config.cluster, config.name, config.settings.gateways, exchange.fleet_size)
+        fleet = join(loop, limits, config.cluster, config.name, exchange)
         commands["show-cluster"] = fleet.show
-    admin = AdminSide(clock, limits, commands)
+        commands["drain"] = lambda: granted(lifecycle.drain(clock.now()) or fleet.rest())
+        commands["resume"] = lambda: granted(lifecycle.resume(clock.now()) or fleet.resume())
+        calls = {"hand-over": fleet.hand_over, "electors": fleet.electors}
+    admin = AdminSide(clock, limits, commands, calls)
     if config.admin is not None:
         await _listen("admin_addr", admin.listen(config.admin))
         log.info("%s: operators are answered at %s", config.name, config.admin)
@@ -97,8 +96,9 @@
                 handover.stop()
             callers.sweep()
         if fleet is not None:
+            fleet.rest()
             if lifecycle.shared:
-                fleet.close()  # the process that goes on takes the port, and the name
+                fleet.close_when_settled()  # the process that goes on takes the port, and the name
             else:
                 fleet.leave()
         stop.set()
@@ -128,7 +128,7 @@
     await stop.wait()
     log.info("%s: stopping, %d calls are open", config.name, len(exchange.calls))
     while not lifecycle.over(clock.now(), exchange.unanswered, len(exchange.calls) - exchange.unanswered) \
-            or (handover is not None and not handover.settled()):
+            or (handover is not None and not handover.settled()) or (fleet is not None and not fleet.settled):
         await asyncio.sleep(0.02)
         if handover is not None:
             handover.hand_over()
--- a/sageweir/cli.py
+++ b/sageweir/cli.py
@@ -74,6 +74,90 @@
     click.echo(text if as_json else table(text))
 
 
+@cluster.command("hand-over")
+@click.argument("words", nargs=-1, required=True, metavar="DUTY [MEMBER] [ADDRESS]")
+@click.option("--wait", default=10.0, show_default=True, help="Seconds until it must be held by another.")
+def cluster_hand_over(words: tuple[str, ...], wait: float) -> None:
+    """Have DUTY handed to MEMBER, or to any other, by whoever holds it.
+
+    ADDRESS is any controller's second address (host:port), else NODE_ADMIN_ADDR. Exit code 1: refused, or not done in
+    time; 2: no answer.
+    """
+    import os
+    import time
+
+    address = words[-1] if ":" in words[-1] else os.environ.get("NODE_ADMIN_ADDR", "")
+    duty, member, *more = (*(word for word in words if word != address), "", "")
+    if any(more) or not duty or not address:
+        raise click.UsageError("DUTY [MEMBER] ADDRESS are wanted")
+
+    import orjson
+
+    from sageweir.ask import ask
+
+    def look() -> tuple[str | None, int | None]:
+        one = orjson.loads(ask(address, "show-cluster").partition("\nEOT")[0]).get("duties", {}).get(duty, {})
+        return one.get("holder"), one.get("term")
+
+    try:
+        before = look()
+        reply = ask(address, f"hand-over {duty} {member}".strip()).strip()
+        if reply != "SUCCESS":
+            click.echo(reply.removeprefix("FAILURE "), err=True)
+            sys.exit(1)
+        end = time.monotonic() + wait
+        while time.monotonic() < end:
+            holder, term = look()
+            if holder is not None and term != before[1] and holder != before[0]:
+                click.echo(f"{duty} is held by {holder} under term {term}")
+                sys.exit(0 if member in ("", holder) else 1)
+            time.sleep(0.05)
+    except (OSError, ValueError) as error:
+        click.echo(f"no answer from {address}: {error}", err=True)
+        sys.exit(2)
+    click.echo(f"{duty}: no other has taken it within {wait:g} s", err=True)
+    sys.exit(1)
+
+
+@cluster.command("electors")
+@click.argument("change", type=click.Choice(["add", "remove"]))
+@click.argument("name")
+@click.argument("places", nargs=-1, metavar="[PLACE] [ADDRESS]")
+@click.option("--wait", default=20.0, show_default=True, help="Seconds until the new list must be in force.")
+def cluster_electors(change: str, name: str, places: tuple[str, ...], wait: float) -> None:
+    """Add elector NAME at PLACE (host:port of its link), or remove NAME.
+
+    ADDRESS is any controller's second address (host:port), else NODE_ADMIN_ADDR. Exit code 1: refused, or not in force
+    in time; 2: no answer.
+    """
+    import os
+    import time
+
+    place, *rest = places if change == "add" and places else ("", *places)
+    address = rest[0] if rest else os.environ.get("NODE_ADMIN_ADDR", "")
+    if len(rest) > 1 or not address or bool(place) != (change == "add"):
+        raise click.UsageError("add NAME PLACE ADDRESS, or remove NAME ADDRESS, are wanted")
+
+    import orjson
+
+    from sageweir.ask import ask
+
+    try:
+        reply = ask(address, f"electors {change} {name} {place}".strip()).strip()
+        if reply != "SUCCESS":
+            click.echo(reply.removeprefix("FAILURE "), err=True)
+            sys.exit(1)
+        end, told = time.monotonic() + wait, ""
+        while time.monotonic() < end and ("is in force" not in told and "was not accepted" not in told):
+            time.sleep(0.05)
+            told = orjson.loads(ask(address, "show-cluster").partition("\nEOT")[0]).get("electors_told", "")
+    except (OSError, ValueError) as error:
+        click.echo(f"no answer from {address}: {error}", err=True)
+        sys.exit(2)
+    click.echo(told)
+    sys.exit(0 if "is in force" in told else 1)
+
+
 @main.group()
 def lab() -> None:
     """Experiments: stand-in servers and proxies on loopback, figures and bounds."""
--- a/sageweir/cluster/duties/elector.py
+++ b/sageweir/cluster/duties/elector.py
@@ -24,13 +24,15 @@
 
     @property
     def held(self) -> float:
-        """How long a holder may act, by its own clock, from before it asked."""
-        return self.lease_ms * (1 - self.drift)
+        """How long a holder may act, by its own clock, from before it asked; the slowest clock then shows no more time
+        than the fastest elector's is bound.
+        """
+        return self.lease_ms * (1 - self.drift) / (1 + self.drift)
 
     @property
     def bound(self) -> float:
         """How long an elector is bound, by its own clock, from after it granted."""
-        return self.lease_ms * (1 + self.drift)
+        return self.lease_ms
 
 
 @dataclass(slots=True)
@@ -63,6 +65,7 @@
         self.out_until = timing.bound  # every lease granted before this start is over then
         self.intact = False
         self.heard: dict[str, Memory] = {}
+        self.accepted: tuple[int, frozenset[str]] | None = None  # the next version, and its list
 
     @property
     def majority(self) -> int:
@@ -168,9 +171,28 @@
         """What the disk must hold before a grant is told."""
         return Kept({duty: promise.term for duty, promise in self.promises.items()})
 
+    # The list of electors
+
+    def propose(self, electors: tuple[str, ...], version: int) -> str:
+        """Another list, one more or one fewer, is to follow the one in force; why it can't, else nothing.
+
+        The first of a version is accepted and no other: so one list at most is accepted by a majority, which makes it
+        the next one. What it accepted must be written before it is told.
+        """
+        if not self.intact:
+            return "it has not yet heard what the others remember"
+        if version != self.version + 1:
+            return f"version {self.version} is in force here"
+        if len(set(electors) ^ set(self.electors)) != 1 or len(electors) < 2:
+            return "it is not one elector more or fewer"
+        if self.accepted is not None and self.accepted != (version, frozenset(electors)):
+            return "another list of that version was accepted"
+        self.accepted = (version, frozenset(electors))
+        return ""
+
     def install(self, electors: tuple[str, ...], version: int) -> bool:
-        """Another list of electors, one more or one fewer, told by the operator. False where it is no such step."""
-        if version <= self.version or len(set(electors) ^ set(self.electors)) != 1:
+        """A list that a majority of the one before it has accepted. False where it is in force, or an older one."""
+        if version <= self.version:
             return False
-        self.electors, self.version = electors, version
+        self.electors, self.version, self.accepted = electors, version, None
         return True
--- a/sageweir/cluster/duties/messages.py
+++ b/sageweir/cluster/duties/messages.py
@@ -1,4 +1,4 @@
-"""What seekers and electors say to each other. Types only, no I/O."""
+"""What seekers, electors, holders and those that are acted on say to each other. Types only, no I/O."""
 
 from __future__ import annotations
 
@@ -12,6 +12,10 @@
 Word = Annotated[str, Meta(max_length=64)]
 Term = Annotated[int, Meta(ge=0, lt=TERM_MAX)]
 Number = Annotated[int, Meta(ge=0, lt=1 << 62)]
+STATE_BYTES, DUTIES_MAX, ELECTORS_MAX = 1000, 8, 8
+State = Annotated[bytes, Meta(max_length=STATE_BYTES)]
+Place = Annotated[str, Meta(min_length=3, max_length=52)]
+Electors = Annotated[dict[Word, Place], Meta(min_length=1, max_length=ELECTORS_MAX)]
 
 
 class Ask(msgspec.Struct, frozen=True, gc=False, tag="ask"):
@@ -69,7 +73,7 @@
     elector: Word
     number: Number
     intact: bool
-    terms: dict[str, int]
+    terms: Annotated[dict[Word, Term], Meta(max_length=DUTIES_MAX)]
 
 
 class Hand(msgspec.Struct, frozen=True, gc=False, tag="hand"):
@@ -79,9 +83,102 @@
     term: Term
     seeker: Word
     boot: Number
-    state: bytes = b""
+    state: State = b""
     go: bool = False
     back: bool = False
 
 
-Message = Ask | Say | Free | Recall | Memory | Hand
+class Notice(msgspec.Struct, frozen=True, gc=False, tag="notice"):
+    """A holder's word to all, an act under its term; count: its acts so far. What it says is the duty's own affair."""
+
+    duty: Word
+    term: Term
+    seeker: Word
+    boot: Number
+    count: Number
+    state: State = b""
+
+
+class Want(msgspec.Struct, frozen=True, gc=False, tag="want"):
+    """A member asks the holder for something; number: echoed by the answer."""
+
+    duty: Word
+    member: Word
+    number: Number
+    state: State = b""
+
+
+class Part(msgspec.Struct, frozen=True, gc=False, tag="part"):
+    """The holder's answer to a Want, an act under its term."""
+
+    duty: Word
+    term: Term
+    seeker: Word
+    boot: Number
+    count: Number
+    number: Number
+    state: State = b""
+
+
+class Above(msgspec.Struct, frozen=True, gc=False, tag="above"):
+    """Refuses an act: the highest term that was seen there."""
+
+    duty: Word
+    term: Term
+
+
+class Wish(msgspec.Struct, frozen=True, gc=False, tag="wish"):
+    """An operator wishes that the holder hands its duty to that member."""
+
+    duty: Word
+    to: Word
+
+
+class Propose(msgspec.Struct, frozen=True, gc=False, tag="propose"):
+    """A list of electors that should follow the present one: by name, where they are reached."""
+
+    version: Number
+    electors: Electors
+    number: Number
+
+
+class Accepted(msgspec.Struct, frozen=True, gc=False, tag="accepted"):
+    """An elector's answer: whether it will take no other list of that version. installed: the version in force there.
+
+    state: of the list asked about: "accepted", "installed", or why neither.
+    """
+
+    elector: Word
+    number: Number
+    version: Number
+    installed: Number
+    state: Annotated[str, Meta(max_length=120)]
+
+
+class Commit(msgspec.Struct, frozen=True, gc=False, tag="commit"):
+    """A list that a majority of the one before has accepted: it is in force. number: 0, or to be echoed by Accepted."""
+
+    version: Number
+    electors: Electors
+    number: Number = 0
+
+
+class Lists(msgspec.Struct, frozen=True, gc=False, tag="lists"):
+    """Asks for the list that is in force there; the answer is a Commit."""
+
+    version: Number
+
+
+Message = (Ask | Say | Free | Recall | Memory | Hand | Notice | Want | Part | Above | Wish | Propose | Accepted | Commit
+           | Lists)
+
+
+class Letter(msgspec.Struct, frozen=True, gc=False, array_like=True):
+    """One of them on its way; host, port: where its sender is reached."""
+
+    fleet: Word
+    to: Word
+    sender: Word
+    host: Annotated[str, Meta(min_length=1, max_length=45)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    body: Message
--- a/sageweir/cluster/duties/seeker.py
+++ b/sageweir/cluster/duties/seeker.py
@@ -14,6 +14,8 @@
 from sageweir.cluster.duties.messages import Ask, Free, Hand, Message, Say
 
 NEVER = float("-inf")
+FIRST = 0.01  # parts of a lease: candidates are spread over so much when a lease runs out
+PATIENCE = (0.36, 0.44)  # since the holder's last word to all, which comes at each third
 Out = tuple[str, Message]  # to whom, what
 
 
@@ -108,6 +110,28 @@
             return self._gave_up(now)
         return []
 
+    def install(self, now: float, electors: tuple[str, ...], version: int) -> list[Out]:
+        """Another list of electors is in force. A lease that is held goes on; what was asked is asked anew."""
+        if version <= self.version:
+            return []
+        out = self._gave_up(now) if self.stage in (Stage.SOUNDING, Stage.ASKING) else []
+        self.electors, self.version, self.round = electors, version, None
+        if self.stage is Stage.HOLDING:
+            self._at = now
+        return out
+
+    def noticed(self, now: float, term: int, holder: str) -> None:
+        """The holder has told that it holds the duty: no need to ask electors for a while."""
+        if self.stage is Stage.IDLE:
+            self.holder, self.seen = holder, max(self.seen, term)
+            self._at = max(self._at, now + self.draw.uniform(*PATIENCE) * self.timing.lease_ms)
+
+    def above(self, now: float, term: int) -> list[Out]:
+        """Something that is acted on has seen a higher term: what is held is worth nothing, the next is to be above."""
+        self.seen = max(self.seen, term)
+        acting = self.stage in (Stage.HOLDING, Stage.HANDING) and term > self.term
+        return self._lost(now, f"term {term} was seen") if acting else []
+
     # Asking
 
     def _question(self, now: float, dry: bool) -> list[Out]:
@@ -151,8 +175,9 @@
             self.eager -= 1
             self._at = now + self.timing.lease_ms / 60
             return self._free("") if asked else []
-        spread = self.timing.lease_ms / 8 * 2 ** min(3, self.failures)
-        self._at = now + waits + self.draw.uniform(0.1, 1.0) * spread
+        # Where another holds it, soon after that one's lease would end; else later the more tries were in vain.
+        spread = FIRST if waits and not asked else 2 ** min(3, self.failures) / 8
+        self._at = now + waits + self.draw.uniform(0.1, 1.0) * spread * self.timing.lease_ms
         return self._free("") if asked else []
 
     def _later(self, now: float, after: float) -> list[Out]:
@@ -177,10 +202,16 @@
         self._at = min(self.until, now + self.timing.lease_ms / 4)
         return [(to, Hand(self.duty, self.term, self.name, self.boot, state))]
 
+    def rest(self, now: float, to: str, state: bytes) -> list[Out]:
+        """Hold the duty no longer, and don't ask for it: it goes to that member, or, if to nobody, is free for all."""
+        self.wants = False
+        if self.holds(now) is None:
+            return []
+        return self.hand_over(now, to, state) if to else self._let_go(now, "")
+
     def resign(self, now: float) -> list[Out]:
         """Give the duty up, as this process ends."""
-        self.wants = False
-        return self._let_go(now, "") if self.holds(now) is not None else []
+        return self.rest(now, "", b"")
 
     def _let_go(self, now: float, to: str) -> list[Out]:
         """From here on it does not act; then electors are told, and the next one."""
--- /dev/null
+++ b/sageweir/cluster/duties/works.py
@@ -0,0 +1,147 @@
+"""The duties of session controllers, between the fleet's holders and each one's decision module. Thin."""
+
+from __future__ import annotations
+
+from functools import partial
+from random import Random
+from typing import Any
+
+from dahliabridge import interface as api
+from dahliabridge.brain import COLD_PART, UNEVEN, ServerView
+from sageweir.cluster.duties import prober, warden
+from sageweir.cluster.duties.service import Work
+from sageweir.cluster.member import Fleet
+from sageweir.exchange import Exchange
+
+Key = tuple[str, float]
+
+
+class Plain:
+    """What a duty does where it has nothing to do."""
+
+    def took(self, now: float, term: int, state: bytes) -> None:
+        pass
+
+    def lost(self, now: float) -> None:
+        pass
+
+    def state(self, now: float) -> bytes:
+        return b""
+
+    def notice(self, now: float) -> bytes | None:
+        return None
+
+    def noticed(self, now: float, term: int, holder: str, state: bytes) -> None:
+        pass
+
+    def want(self, now: float) -> bytes | None:
+        return None
+
+    def wanted(self, now: float, member: str, state: bytes) -> bytes | None:
+        return None
+
+    def part(self, now: float, asked_at: float, state: bytes) -> None:
+        pass
+
+    def show(self, now: float) -> dict[str, Any]:
+        return {}
+
+
+class ColdWarden(Plain):
+    """Parts of cold servers' budgets."""
+
+    def __init__(self, exchange: Exchange, drift: float) -> None:
+        self.exchange, self.warden = exchange, warden.Warden(drift)
+        self.began: float | None = None
+        self.given = self.had = 0  # parts
+
+    def _cold(self) -> list[tuple[ServerView, float]]:
+        """Cold servers, with how warm they are."""
+        module, unix = self.exchange.controller, self.exchange.clock.now()
+        return [(view, warmth) for view in module.servers.values()
+                if view.listed() and (warmth := view.warmth(module.settings, unix)) < 1]
+
+    def want(self, now: float) -> bytes | None:
+        self.began = now if self.began is None else self.began
+        module = self.exchange.controller
+        asks = []
+        for view, warmth in self._cold()[:warden.SERVERS_MAX]:
+            part = COLD_PART * warmth * min(1.0, module.settings.fall_multiple / UNEVEN)
+            takes = COLD_PART * view.max_rate if view.max_rate < float("inf") else 0.0
+            asks.append(warden.Ask(view.entry.name, view.entry.started_ms, part * module.demand(view), takes))
+        return warden.encode(warden.Asks(now - self.began, tuple(asks))) if asks else None
+
+    def took(self, now: float, term: int, state: bytes) -> None:
+        self.warden.took(now, state)
+
+    def state(self, now: float) -> bytes:
+        return self.warden.state(now)
+
+    def wanted(self, now: float, member: str, state: bytes) -> bytes | None:
+        asks = warden.decode_asks(state)
+        given = self.warden.asked(now, member, asks) if asks is not None else ()
+        self.given += len(given)
+        return warden.encode(given) if given else None
+
+    def part(self, now: float, asked_at: float, state: bytes) -> None:
+        for one in warden.decode_given(state):
+            view = self.exchange.controller.servers.get(one.server)
+            left = min(one.lasts_ms, warden.PART_MS) - (now - asked_at)
+            if view is not None and view.entry.started_ms == one.started_ms and left > 0:
+                self.had += 1
+                self.exchange.tell(api.ColdPart(one.server, one.rate, left))
+
+    def show(self, now: float) -> dict[str, Any]:
+        return {"parts_given": self.given, "parts_had": self.had, "out": {
+            server: round(ledger.out(now), 2) for (server, _), ledger in self.warden.ledgers.items()}}
+
+
+class Prober(Plain):
+    """Tests of servers that don't answer."""
+
+    def __init__(self, exchange: Exchange, draw: Random) -> None:
+        self.exchange, self.prober, self.heeder = exchange, prober.Prober(), prober.Heeder(draw)
+        self.told = 0
+
+    def want(self, now: float) -> bytes | None:
+        bad = tuple(prober.Bad(name, view.entry.started_ms) for name, view in self.exchange.controller.servers.items()
+                    if view.bad and view.listed())
+        return prober.encode(bad[:prober.SERVERS_MAX]) if bad else None
+
+    def wanted(self, now: float, member: str, state: bytes) -> bytes | None:
+        self.prober.reported(now, member, prober.decode_bad(state))
+        return None  # the answer goes to all
+
+    def took(self, now: float, term: int, state: bytes) -> None:
+        self.prober.took(now, state)
+
+    def state(self, now: float) -> bytes:
+        return self.prober.state(now)
+
+    def notice(self, now: float) -> bytes | None:
+        for key in self.prober.due(now):
+            self.exchange.test(key[0], partial(self.prober.result, now, key))
+        outcomes = self.prober.outcomes(now)
+        self._heed(now, outcomes)
+        return prober.encode(outcomes) if outcomes else None
+
+    def noticed(self, now: float, term: int, holder: str, state: bytes) -> None:
+        self._heed(now, prober.decode(state))
+
+    def _heed(self, now: float, outcomes: tuple[prober.Outcome, ...]) -> None:
+        unix, servers = self.exchange.clock.now(), self.exchange.controller.servers
+        for one in self.heeder.heed(now, outcomes):
+            view = servers.get(one.server)
+            if view is not None and view.entry.started_ms == one.started_ms:
+                self.told += 1
+                self.exchange.tell(api.Probed(one.server, one.silent, unix - one.age_ms))
+
+    def show(self, now: float) -> dict[str, Any]:
+        return {"tests": self.prober.tests, "told_the_module": self.told,
+                "silent": [one.server for one in self.prober.outcomes(now) if one.silent]}
+
+
+def works_of(exchange: Exchange, fleet: Fleet) -> dict[str, Work]:
+    """The duties that a session controller is a candidate for."""
+    return {warden.DUTY: ColdWarden(exchange, fleet.config.drift),
+            prober.DUTY: Prober(exchange, Random(fleet.view.me.boot))}
--- /dev/null
+++ b/sageweir/cluster/join.py
@@ -0,0 +1,27 @@
+"""One session controller's part in the fleet's common things, put together from its parts."""
+
+from __future__ import annotations
+
+import asyncio
+
+from sageweir.clock import Clock, MonotonicClock
+from sageweir.cluster.faulty import FaultyClock
+from sageweir.cluster.member import Fleet
+from sageweir.config import ClusterConfig
+from sageweir.exchange import Exchange
+from sageweir.limits import Limits
+
+
+def join(loop: asyncio.AbstractEventLoop, limits: Limits, config: ClusterConfig, name: str,
+         exchange: Exchange) -> Fleet:
+    """A member that is not started yet. Raises ConfigError."""
+    clock: Clock = MonotonicClock(loop)
+    if config.faults is not None:
+        clock = FaultyClock(clock, config.faults)
+    module = exchange.controller
+    fleet = Fleet(clock, limits, config, name, module.settings.gateways, exchange.fleet_size)
+    if config.electors:
+        from sageweir.cluster.duties.works import works_of
+
+        fleet.take_up(works_of(exchange, fleet))
+    return fleet
--- a/sageweir/cluster/link.py
+++ b/sageweir/cluster/link.py
@@ -17,6 +17,7 @@
 from sageweir.limits import Limits
 
 log = logging.getLogger("sageweir.cluster")
+FETCH = b"SP\x01"  # how a stream begins that asks for a page, and the form's version
 
 
 class Link(asyncio.DatagramProtocol):
@@ -27,6 +28,8 @@
     def __init__(self, limits: Limits, via: Mapping[str, Address], heard: Callable[[Packet], None],
                  asked: Callable[[Full], Full]) -> None:
         self.limits, self.via, self.heard, self.asked = limits, via, heard, asked
+        self.pages: Callable[[bytes], bytes] | None = None  # what is fetched from this member: name in, bytes out
+        self.letters: tuple[bytes, Callable[[bytes, tuple[str, int]], None]] | None = None  # how they begin, who takes
         self.transport: asyncio.DatagramTransport | None = None
         self.unreadable = self.unsent = 0
         self._server: asyncio.Server | None = None
@@ -64,13 +67,20 @@
 
     def send(self, host: str, port: int, packet: Packet) -> None:
         """Send, or drop: a datagram that can't go is one that is lost."""
+        self.send_bytes(host, port, encode_packet(packet))
+
+    def send_bytes(self, host: str, port: int, data: bytes) -> None:
+        """The same of what is encoded already."""
         if self.transport is not None and not self.transport.is_closing():
             if self.transport.get_write_buffer_size() > self.limits.cluster_buffer_bytes:  # type: ignore[attr-defined]
                 self.unsent += 1  # guards against a queue that only grows while the way out is shut
                 return
-            self.transport.sendto(encode_packet(packet), self._where(host, port))
+            self.transport.sendto(data, self._where(host, port))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if self.letters is not None and data.startswith(self.letters[0]):
+            self.letters[1](data, addr)
+            return
         try:
             packet = decode_packet(data)
         except Unreadable as error:
@@ -92,8 +102,12 @@
         self._open += 1
         try:
             async with asyncio.timeout(self.limits.cluster_exchange_ms / 1000):
-                full = await self._read(reader)
-                self._write(writer, self.asked(full))
+                body = await self._read(reader)
+                if body.startswith(FETCH) and self.pages is not None:
+                    page = self.pages(body[len(FETCH):])[:FULL_BYTES]
+                    writer.write(len(page).to_bytes(4, "big") + page)
+                else:
+                    self._write(writer, self.asked(decode_full(body)))
                 await writer.drain()
                 await reader.read(1)  # the other closes first
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
@@ -105,11 +119,11 @@
             self._open -= 1
             writer.transport.abort()
 
-    async def _read(self, reader: asyncio.StreamReader) -> Full:
+    async def _read(self, reader: asyncio.StreamReader) -> bytes:
         size = int.from_bytes(await reader.readexactly(4), "big")
         if size > FULL_BYTES:
             raise Unreadable(f"{size} bytes, over {FULL_BYTES}")
-        return decode_full(await reader.readexactly(size))
+        return await reader.readexactly(size)
 
     def _write(self, writer: asyncio.StreamWriter, full: Full) -> None:
         body = encode_full(full)
@@ -117,20 +131,27 @@
 
     def meet(self, host: str, port: int, full: Full, met: Callable[[Full], None]) -> None:
         """Make an exchange there; `met` gets the answer, if one comes in time."""
+        self._begin(host, port, encode_full(full), lambda body: met(decode_full(body)))
+
+    def fetch(self, host: str, port: int, name: bytes, got: Callable[[bytes], None]) -> None:
+        """Ask a member for a page of its own; `got` gets it, if it comes in time."""
+        self._begin(host, port, FETCH + name, got)
+
+    def _begin(self, host: str, port: int, body: bytes, got: Callable[[bytes], None]) -> None:
         if len(self._tasks) >= self.limits.cluster_exchanges:
             return
-        task = asyncio.ensure_future(self._meet(host, port, full, met))
+        task = asyncio.ensure_future(self._ask(host, port, body, got))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _meet(self, host: str, port: int, full: Full, met: Callable[[Full], None]) -> None:
+    async def _ask(self, host: str, port: int, body: bytes, got: Callable[[bytes], None]) -> None:
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(self.limits.cluster_exchange_ms / 1000):
                 reader, writer = await asyncio.open_connection(*self._where(host, port))
-                self._write(writer, full)
+                writer.write(len(body).to_bytes(4, "big") + body)
                 answer = await self._read(reader)
-            met(answer)
+            got(answer)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             log.debug("no exchange with %s:%d: %s", host, port, error)
         except Unreadable as error:
--- a/sageweir/cluster/member.py
+++ b/sageweir/cluster/member.py
@@ -6,10 +6,11 @@
 import errno
 import logging
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from io import FileIO
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 import orjson
 
@@ -19,9 +20,12 @@
 from sageweir.cluster.messages import Full, Packet, Record, State
 from sageweir.cluster.tuning import Tuning
 from sageweir.cluster.view import Action, Change, Post, View
-from sageweir.config import ClusterConfig, ConfigError
+from sageweir.config import ClusterConfig, ConfigError, read_address
 from sageweir.limits import Limits
 
+if TYPE_CHECKING:  # they are loaded only where electors are named
+    from sageweir.cluster.duties.service import Duties, Work
+
 log = logging.getLogger("sageweir.cluster")
 
 
@@ -77,6 +81,29 @@
         self._dropped = dict(self.view.dropped)
         self._timer: Timer | None = None
         self._over = self._waits = False
+        self.duties: Duties | None = None
+        self._duties_audit: AuditFile | None = None
+
+    def take_up(self, works: Mapping[str, Work]) -> None:
+        """Duties: what is done under each. Raises ConfigError."""
+        from sageweir.cluster.duties.service import Duties, Self
+        from sageweir.cluster.duties.wire import HEAD
+
+        me, audit = self.view.me, self.config.audit
+        if audit is not None:
+            self._duties_audit = AuditFile(audit.with_name(audit.name + ".duties"), self.limits.cluster_audit_bytes)
+        self.duties = Duties(self.clock, self.limits, self.config, Self(
+            self.config.fleet, me.name, me.boot, me.host, me.port), works, self.link.send_bytes, self._find,
+            lambda: [record.name for record in self.view.living], self._keep)
+        self.link.letters = (HEAD, self.duties.heard)
+
+    def _keep(self, row: dict[str, object]) -> None:
+        if self._duties_audit is not None:
+            self._duties_audit.write(row)
+
+    def _find(self, name: str) -> tuple[str, int] | None:
+        member = self.view.members.get(name)
+        return (member.record.host, member.record.port) if member is not None else None
 
     async def start(self) -> None:
         """Take the port and join. Where another process still has it, as in an upgrade, it is tried again later."""
@@ -93,6 +120,8 @@
         log.info("in the fleet: fleet=%s name=%s listen=%s boot=%d", self.config.fleet, self.view.me.name,
                  self.config.listen, self.view.me.boot)
         self._perform(self.view.start(self.clock.now()))
+        if self.duties is not None:
+            self.duties.start()
 
     def _again(self) -> None:
         if not self._over:
@@ -122,8 +151,36 @@
         if not self._over and self.link.transport is not None:
             self._perform(self.view.leave(self.clock.now()))
 
+    def rest(self) -> str:
+        """Hand on what only one holds, and ask for none of it; it is never refused."""
+        if self.duties is not None and not self._over:
+            self.duties.rest()
+        return ""
+
+    def resume(self) -> str:
+        """Take part in it again."""
+        if self.duties is not None:
+            self.duties.resume()
+        return ""
+
+    @property
+    def settled(self) -> bool:
+        """Nothing is being handed on."""
+        return self._over or self.duties is None or self.duties.settled
+
+    def close_when_settled(self) -> None:
+        """Close as soon as nothing is held; handing on takes no longer than a part of a lease."""
+        if self.settled:
+            self.close()
+        else:
+            self.clock.after(5.0, self.close_when_settled)
+
     def close(self) -> None:
         """Without leave: the others find out, or a successor at the same address goes on."""
+        if self.duties is not None:
+            self.duties.close()
+        if self._duties_audit is not None:
+            self._duties_audit.close()
         if self._timer is not None:
             self._timer.cancel()
         self._over = True
@@ -178,4 +235,31 @@
         """The whole view as one line of JSON, and the line that ends it."""
         told = snapshot(self.view) | {"own_ms": round(self.view.time, 1), "period_ms": self.view.tuning.period_ms,
                                       "unreadable": self.link.unreadable, "unsent": self.link.unsent}
+        if self.duties is not None:
+            told |= self.duties.show()
         return orjson.dumps(told).decode() + "\nEOT"
+
+    # Operators' calls
+
+    def hand_over(self, words: list[str]) -> str:
+        """hand-over DUTY [MEMBER]: why not, else nothing."""
+        if self.duties is None:
+            return "no electors are named in cluster.json"
+        if not 1 <= len(words) <= 2:
+            return "hand-over wants a duty, and a member if it matters which"
+        return self.duties.wish(words[0], words[1] if len(words) > 1 else "")
+
+    def electors(self, words: list[str]) -> str:
+        """electors add NAME HOST:PORT, or electors remove NAME: why not, else nothing."""
+        if self.duties is None:
+            return "no electors are named in cluster.json"
+        match words:
+            case ["add", name, place]:
+                try:
+                    address = read_address(place, "address")
+                except ConfigError as error:
+                    return str(error)
+                return self.duties.change_electors(name, str(address))
+            case ["remove", name]:
+                return self.duties.change_electors(name, None)
+        return "electors wants: add NAME HOST:PORT, or remove NAME"
--- a/sageweir/cluster/show.py
+++ b/sageweir/cluster/show.py
@@ -15,6 +15,26 @@
     return f"{ms / 1000:.1f} s ago" if ms < 120_000 else f"{ms / 60_000:.0f} min ago"
 
 
+def _duties(view: dict[str, Any]) -> list[str]:
+    """Holders, terms and why; nothing where no electors are named."""
+    lines = []
+    for duty, one in view.get("duties", {}).items():
+        if one["holder"] is None:
+            lines.append(f"{duty}: NOBODY is known to hold it; here {one['here']} ({one['why']})")
+            continue
+        when = "by itself" if one["said_ms_ago"] is None else _since(one["said_ms_ago"])
+        lines.append(f"{duty}: held by {one['holder']} under term {one['term']}, told {when}; "
+                     f"here {one['here']} ({one['why']})")
+    if lines:
+        lines.append(f"electors, version {view['electors_version']}: {', '.join(view['electors'])}"
+                     + (f"; {view['electors_told']}" if view["electors_told"] else ""))
+        if (elector := view["elector"]) is not None:
+            word = "takes part" if elector["takes_part"] else "stays out until it knows what the others remember"
+            bound = ", ".join(f"{duty} to {to}" for duty, to in elector["bound_to"].items()) or "nothing"
+            lines.append(f"this one is an elector: {word}; bound for {bound}")
+    return lines
+
+
 def table(text: str) -> str:
     """A member's answer to show-cluster, as lines."""
     view: dict[str, Any] = orjson.loads(text)
@@ -31,6 +51,7 @@
     dropped = {**view["dropped"], "unreadable": view.get("unreadable", 0)}
     if any(dropped.values()):
         lines.append("dropped: " + ", ".join(f"{why} {count}" for why, count in dropped.items() if count))
+    lines += _duties(view)
     for row in [COLUMNS, *rows]:
         lines.append("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
     return "\n".join(lines)
--- a/sageweir/config.py
+++ b/sageweir/config.py
@@ -59,6 +59,8 @@
 
     advertise: where others reach it, if that is not `listen`; via: other addresses by which this process reaches some.
     audit: a file that gets all changes of the view; faults: a file that the laboratory lets its clock go wrong by.
+    electors: by name, where they are reached; none: no duties. lease_ms: of all duties; drift: bound on how much
+    faster or slower a clock runs, a part; state: a folder in which an elector keeps its terms.
     """
 
     fleet: str
@@ -72,6 +74,11 @@
     members_max: int = 2000
     audit: Path | None = None
     faults: Path | None = None
+    electors: Mapping[str, Address] = field(default_factory=dict)
+    electors_version: int = 1
+    lease_ms: float = 3000.0
+    drift: float = 0.05
+    state: Path | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +122,7 @@
     merge_ms: float = 20.0
     drift_ms: float = 500.0
     workers: int = 1
+    cluster: ClusterConfig | None = None  # with other instances that publish one line of versions
 
 
 def _get(obj: Mapping[str, Any], key: str, kind: type, where: str, default: Any = ...) -> Any:
@@ -208,7 +216,8 @@
 
 
 CLUSTER_KEYS = frozenset({"fleet", "listen", "advertise", "zone", "join", "via", "period_ms", "remember_ms",
-                          "members_max", "audit", "faults"})
+                          "members_max", "audit", "faults", "electors", "electors_version", "lease_ms", "drift",
+                          "state"})
 
 
 def read_cluster(raw: Mapping[str, Any]) -> ClusterConfig:
@@ -241,7 +250,16 @@
     join, via = _get(raw, "join", list, at, []), _get(raw, "via", dict, at, {})
     if len(join) > 64:
         raise ConfigError(f"{at}join: must have at most 64 addresses, got {len(join)}")
-    files = {key: Path(found) if (found := text(key, 4096, "")) else None for key in ("audit", "faults")}
+    files = {key: Path(found) if (found := text(key, 4096, "")) else None for key in ("audit", "faults", "state")}
+    named = _get(raw, "electors", dict, at, {})
+    for name in named:
+        if not (1 <= len(name) <= 64 and name.isascii()):
+            raise ConfigError(f"{at}electors: names must have 1 to 64 ASCII characters, got {name!r:.80}")
+    electors = {name: address(one, f"electors.{name}") for name, one in named.items()}
+    if electors and (not 3 <= len(electors) <= 7 or len(electors) % 2 == 0):
+        raise ConfigError(f"{at}electors: must be 3, 5 or 7, got {len(electors)}")
+    if len(set(electors.values())) < len(electors):
+        raise ConfigError(f"{at}electors: two have the same address")
     return ClusterConfig(
         text("fleet", 64), address(_get(raw, "listen", str, at), "listen"),
         address(raw["advertise"], "advertise") if "advertise" in raw else None, text("zone", 32, ""),
@@ -249,7 +267,9 @@
         {key: address(one, f"via.{key}") for key, one in via.items()},
         float(number("period_ms", float, 500.0, 20.0, 60_000.0)),
         float(number("remember_ms", float, 86_400_000.0, 1000.0, 1e12)),
-        number("members_max", int, 2000, 2, 8000), files["audit"], files["faults"])
+        number("members_max", int, 2000, 2, 8000), files["audit"], files["faults"], electors,
+        number("electors_version", int, 1, 1, 1 << 40), float(number("lease_ms", float, 3000.0, 200.0, 600_000.0)),
+        float(number("drift", float, 0.05, 0.0, 0.2)), files["state"])
 
 
 def load_cluster(path: Path = CLUSTER_FILE) -> ClusterConfig | None:
@@ -331,7 +351,7 @@
 
 CONTROL_KEYS = frozenset({
     "name", "seed", "known", "feed", "settings", "limits", "xds_listen", "rest_listen", "proxy_listen", "demand",
-    "lease_ms", "heartbeats_per_s", "merge_ms", "drift_ms", "workers"})
+    "lease_ms", "heartbeats_per_s", "merge_ms", "drift_ms", "workers", "cluster", "admin_addr"})
 
 
 def load_control(path: Path) -> ControlConfig:
@@ -359,10 +379,14 @@
     workers = _get(raw, "workers", int, "", 1)
     if not 1 <= workers <= 64:
         raise ConfigError(f"workers: must be 1 to 64, got {workers}")
+    file = _get(raw, "cluster", str, "", "")
+    cluster = read_cluster(_load(Path(file), "cluster")) if file else None
+    if cluster is not None and workers > 1:
+        raise ConfigError("workers: must be 1 with a cluster, as each instance has a name and an address there")
     per_s, capacity = _read_demand(raw, {c.name for c in base.settings.classes})
     return ControlConfig(base, xds, found["rest_listen"], found["proxy_listen"], per_s, capacity,
                          numbers["lease_ms"], numbers["heartbeats_per_s"], numbers["merge_ms"],
-                         numbers["drift_ms"], workers)
+                         numbers["drift_ms"], workers, cluster)
 
 
 def _read_demand(raw: Mapping[str, Any], classes: set[str]) -> tuple[dict[str, float] | None, float]:
--- a/sageweir/control/grpc_front.py
+++ b/sageweir/control/grpc_front.py
@@ -109,8 +109,11 @@
         service, stream, front = self.front.service, self.stream, self.front
         while True:
             now = service.clock.now()
-            response = stream.owed(service.present, now) if service.ready else None
-            if response is None and self.beat_due:
+            # Guards against a version that goes back: a proxy that comes from another instance waits here until this
+            # one has caught up, with what it holds, as long as its lease lasts.
+            may = service.may_tell(stream.claimed)
+            response = stream.owed(service.present, now) if service.ready and may else None
+            if response is None and self.beat_due and may:
                 response = stream.beat(ENDPOINT, service.present)
             self.beat_due = self.beat_due and response is not None and not response.beat
             if response is None:
--- /dev/null
+++ b/sageweir/control/line.py
@@ -0,0 +1,175 @@
+"""One line of versions for all instances of the service: one publishes, the others hand on what it published. Pure.
+
+A version is 'L', the publisher's term and the snapshot's number under it, and, where an instance took out servers that
+may get nothing new since then, the feed's number that told so: 'L7.12.40'. Terms only grow, so that later is greater.
+
+Every instance takes stopped servers out by itself, at once: a drain does not wait for a publisher. While nobody holds
+the duty the last published state stands, less what has stopped since; nothing is added. An instance that knows nothing
+published yet tells proxies nothing that hold something of the line.
+"""
+
+from __future__ import annotations
+
+import re
+import zlib
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import orjson
+
+from sageweir.control.snapshot import ENDPOINT, Body, Key, Resource, Snapshot, SnapshotStore
+
+DUTY = "publisher"
+Version = tuple[int, ...]
+_FORM = re.compile(r"L(\d{1,18})\.(\d{1,18})(?:\.(\d{1,18}))?")
+
+
+def read_version(text: str) -> Version:
+    """A version of the line; () for any other."""
+    found = _FORM.fullmatch(text)
+    return tuple(int(part) for part in found.groups() if part is not None) if found else ()
+
+
+def without(body: Body, stopped: frozenset[str]) -> Body:
+    """Endpoints that no longer offer these servers."""
+    localities = []
+    for row in body.json["endpoints"]:
+        left = [one for one in row["lb_endpoints"] if one["endpoint"]["hostname"] not in stopped]
+        if left:
+            localities.append({**row, "lb_endpoints": left})
+    return Body({**body.json, "endpoints": localities}, body.needs, body.refers, body.offers - stopped, body.on_demand)
+
+
+class Line:
+    """One instance's place in the line. Its store holds what streams are told."""
+
+    def __init__(self, store: SnapshotStore, published: Callable[[], None], changed: Callable[[], None]) -> None:
+        """published: a new state is to be told to the others; changed: streams are owed something."""
+        self.store, self._published, self._changed = store, published, changed
+        self.term: int | None = None  # under which this instance publishes
+        self.base: Snapshot | None = None  # as it was published, by whomever
+        self.feed = 0  # up to which event of the feed that was
+        self._newest: tuple[Mapping[Key, Body], frozenset[str], int] | None = None
+        self._blob: bytes | None = None
+        self._marked: set[str] = set()  # endpoints from which something was taken out since
+        self.refused = 0
+
+    @property
+    def at(self) -> Version:
+        """Term and number of what was published last, as far as is known here."""
+        return read_version(f"{self.base.epoch}.{self.base.number}") if self.base is not None else ()
+
+    @property
+    def told(self) -> Version:
+        """The version that streams are told here."""
+        return max((read_version(text) for text in self.store.present.versions.values()), default=())
+
+    def may_tell(self, held: Version) -> bool:
+        """Whether a proxy that holds this version may be told what is here: never what is older."""
+        return not held or self.told >= held
+
+    # This instance's own plan
+
+    def offer(self, found: Mapping[Key, Body], stopped: frozenset[str], feed: int) -> None:
+        """A plan is to go out: published, or used for what it no longer offers."""
+        self._newest = (found, stopped, feed)
+        if self.term is not None and feed >= self.feed:
+            if self.store.update(found, stopped):
+                self._out(feed)
+        elif self._overlay():
+            self._changed()
+
+    def lead(self, term: int) -> None:
+        """This instance publishes from now on."""
+        self.term = term
+        self.store.begin(f"L{term}")
+        if self._newest is not None and self._newest[2] >= self.feed:
+            found, stopped, feed = self._newest
+            self.store.update(found, stopped, always=True)
+            self._out(feed)
+
+    def follow(self) -> None:
+        """It publishes no longer."""
+        self.term = None
+
+    def _out(self, feed: int) -> None:
+        self.base, self.feed, self._blob = self.store.present, feed, None
+        self._marked.clear()
+        self._published()
+        self._changed()
+
+    def _overlay(self) -> bool:
+        """Take out what has stopped since it was published."""
+        if self.base is None or self._newest is None:
+            return False
+        _, stopped, feed = self._newest
+        gone = stopped - self.base.stopped
+        types = {kind: dict(resources) for kind, resources in self.base.types.items()}
+        versions, mark = dict(self.base.versions), f"{self.base.epoch}.{self.base.number}.{feed}"
+        before = self.store.present
+        for name, resource in types.get(ENDPOINT, {}).items():
+            if not resource.offers & gone and name not in self._marked:
+                continue
+            self._marked.add(name)  # from now on: where a stop is called off, the version must not go back
+            body, old = without(resource.body, gone), before.of(ENDPOINT).get(name)
+            if old is not None and old.body == body and read_version(old.version) > self.at:
+                types[ENDPOINT][name] = old
+                versions[ENDPOINT] = max(versions[ENDPOINT], old.version, key=read_version)
+                continue
+            types[ENDPOINT][name] = Resource(ENDPOINT, name, mark, body, self.store.encode)
+            versions[ENDPOINT] = mark
+        after = Snapshot(self.base.epoch, self.base.number, types, versions, self.base.stopped | stopped)
+        changed = after.versions != before.versions or after.stopped != before.stopped
+        self.store.present = after
+        return changed
+
+    # What was published
+
+    def blob(self) -> bytes:
+        """The published state for other instances; empty where there is none."""
+        if self.base is None:
+            return b""
+        if self._blob is None:
+            rows = [[r.type_url, r.name, r.version, r.body.json, sorted(r.body.needs), sorted(r.body.refers),
+                     sorted(r.body.offers), r.body.on_demand] for of in self.base.types.values() for r in of.values()]
+            self._blob = zlib.compress(orjson.dumps({
+                "epoch": self.base.epoch, "number": self.base.number, "feed": self.feed, "rows": rows,
+                "versions": dict(self.base.versions), "stopped": sorted(self.base.stopped)}), 1)
+        return self._blob
+
+    def take(self, blob: bytes, least: int, most: int) -> str:
+        """Another's published state; why it is not taken, else nothing. least: term that must be reached at least;
+        most: bytes, unpacked.
+        """
+        try:
+            unpacker = zlib.decompressobj()
+            data = unpacker.decompress(blob, most)
+            if unpacker.unconsumed_tail or not unpacker.eof:
+                return f"it is cut, or over {most} bytes"
+            raw = orjson.loads(data)
+            after, feed = self._read(raw), int(raw["feed"])
+        except (zlib.error, ValueError, KeyError, TypeError) as error:
+            return f"it can't be read: {error}"
+        version = read_version(f"{after.epoch}.{after.number}")
+        if not version or version[0] < least:
+            self.refused += 1
+            return f"term {version[0] if version else 0} is over, {least} was seen"
+        if version <= self.at:
+            return f"{version} is not after {self.at}"
+        self.base, self.feed, self._blob = after, feed, blob
+        self._marked.clear()
+        self.store.present = after
+        self._overlay()
+        self._changed()
+        return ""
+
+    def _read(self, raw: Mapping[str, Any]) -> Snapshot:
+        before, types = self.store.present, dict[str, dict[str, Resource]]()
+        for kind, name, version, body, needs, refers, offers, on_demand in raw["rows"]:
+            old = before.of(kind).get(name)
+            if old is None or old.version != version:
+                old = Resource(kind, name, version, Body(
+                    body, frozenset(map(tuple, needs)), frozenset(map(tuple, refers)), frozenset(offers), on_demand),
+                    self.store.encode)
+            types.setdefault(kind, {})[name] = old
+        return Snapshot(raw["epoch"], raw["number"], types, raw["versions"], frozenset(raw["stopped"]))
--- a/sageweir/control/program.py
+++ b/sageweir/control/program.py
@@ -12,16 +12,21 @@
 import sys
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 
-from sageweir.clock import SystemClock
+from sageweir.clock import Clock, SystemClock
 from sageweir.config import Config, ControlConfig, load_control
 from sageweir.control.encoding import encode
 from sageweir.control.grpc_front import GrpcFront
 from sageweir.control.service import ControlService
+from sageweir.net.admin import AdminSide, granted
 from sageweir.net.feed import FeedClient
 from sageweir.net.xds import Discovery, DiscoveryConnection
 from sageweir.reload import Reloader
 
+if TYPE_CHECKING:
+    from sageweir.cluster.member import Fleet
+
 log = logging.getLogger("sageweir.control")
 
 FIXED = ("name", "listen", "limits")  # take a restart
@@ -45,6 +50,25 @@
         self.reloader = Reloader(clock, base, self.feed, self._load, FIXED,
                                  lambda: self.service.reload(self._newest))
         self._rest: asyncio.Server | None = None
+        self.fleet: Fleet | None = None
+        self.admin: AdminSide | None = None
+        if config.cluster is not None:
+            # Only here: an instance that stands alone loads none of it.
+            from sageweir.clock import MonotonicClock
+            from sageweir.cluster.faulty import FaultyClock
+            from sageweir.cluster.member import Fleet as Member
+            from sageweir.control.line import DUTY
+            from sageweir.control.publish import Publisher
+
+            beat: Clock = MonotonicClock(asyncio.get_running_loop())
+            if config.cluster.faults is not None:
+                beat = FaultyClock(beat, config.cluster.faults)
+            self.fleet = Member(beat, base.limits, config.cluster, base.name, 1, lambda size: None)
+            if config.cluster.electors:
+                self.fleet.take_up({DUTY: Publisher(self.service, self.fleet)})
+            self.admin = AdminSide(clock, base.limits, {
+                "ready": lambda: granted("" if self.service.ready else "starting"), "show-cluster": self.fleet.show,
+            }, {"hand-over": self.fleet.hand_over, "electors": self.fleet.electors})
 
     def _load(self) -> Config:
         self._newest = load_control(self.path)
@@ -53,6 +77,10 @@
     async def start(self) -> None:
         """Serve. Raises RuntimeError or OSError where an address can't be had."""
         base = self.config.base
+        if self.fleet is not None:
+            await self.fleet.start()
+        if self.admin is not None and base.admin is not None:
+            await self.admin.listen(base.admin)
         self.service.start()
         if base.feed is not None:
             self.feed.start()
@@ -70,6 +98,14 @@
         self.clock.after(20.0 if not self.service.ready else 250.0, self._listen_for_feed)
 
     async def stop(self) -> None:
+        if self.fleet is not None:
+            self.fleet.rest()
+            self.fleet.leave()
+            while not self.fleet.settled:  # no longer than a part of a lease
+                await asyncio.sleep(0.005)
+            self.fleet.close()
+        if self.admin is not None:
+            self.admin.close()
         self.feed.stop()
         self.service.stop()
         if self._rest is not None:
--- /dev/null
+++ b/sageweir/control/publish.py
@@ -0,0 +1,62 @@
+"""The duty `publisher` between the service's instances: who holds it tells what it published, the others fetch it."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import msgspec
+
+from sageweir.cluster.duties.works import Plain
+from sageweir.cluster.member import Fleet
+from sageweir.control.line import DUTY, Line
+from sageweir.control.service import ControlService
+
+log = logging.getLogger("sageweir.control")
+PAGE, PAGE_BYTES = b"published", 1 << 23  # unpacked at most
+
+
+class Publisher(Plain):
+    """One instance's part."""
+
+    def __init__(self, service: ControlService, fleet: Fleet) -> None:
+        self.fleet, self.taken = fleet, 0
+        self.line = service.line = Line(service.store, self._published, service.changed)
+        fleet.link.pages = self._page
+
+    def _page(self, name: bytes) -> bytes:
+        return self.line.blob() if name == PAGE else b""
+
+    def _published(self) -> None:
+        if self.fleet.duties is not None:
+            self.fleet.duties.say_now(DUTY)
+
+    def took(self, now: float, term: int, state: bytes) -> None:
+        self.line.lead(term)
+
+    def lost(self, now: float) -> None:
+        self.line.follow()
+
+    def notice(self, now: float) -> bytes | None:
+        return msgspec.msgpack.encode(self.line.at) if self.line.at else None
+
+    def noticed(self, now: float, term: int, holder: str, state: bytes) -> None:
+        try:
+            at = msgspec.msgpack.decode(state, type=tuple[int, int]) if state else ()
+        except msgspec.MsgspecError:
+            return
+        duties = self.fleet.duties
+        if at > self.line.at and duties is not None and (place := duties.place(holder)) is not None:
+            self.fleet.link.fetch(*place, PAGE, self._fetched)
+
+    def _fetched(self, blob: bytes) -> None:
+        duties = self.fleet.duties
+        least = duties.fence.highest.get(DUTY, 0) if duties is not None else 0
+        if why := self.line.take(blob, least, PAGE_BYTES):
+            log.info("what was published is not taken: why=%s", why)
+        else:
+            self.taken += 1
+
+    def show(self, now: float) -> dict[str, Any]:
+        return {"at": list(self.line.at), "told": list(self.line.told), "taken": self.taken,
+                "feed": self.line.feed, "refused": self.line.refused}
--- a/sageweir/control/service.py
+++ b/sageweir/control/service.py
@@ -11,6 +11,7 @@
 from sageweir.config import ControlConfig, ListEvent
 from sageweir.control.fleet import Fleet
 from sageweir.control.lease import LeasePolicy
+from sageweir.control.line import Line
 from sageweir.control.pace import Pace, Pacer
 from sageweir.control.resources import bodies
 from sageweir.control.shares import Demand, Plan, plan
@@ -28,6 +29,8 @@
         self.clock, self.config, self.limits = clock, config, base.limits
         self.fleet, self.store, self.pacer = Fleet(), SnapshotStore(epoch, encode), Pacer()
         self.controller = Controller(base.settings, base.seed)
+        self.line: Line | None = None  # one line of versions with other instances
+        self.feed_number = 0
         self.listeners: set[Callable[[], None]] = set()
         self.ready = base.feed is None  # what is known may be told
         self.plan: Plan | None = None
@@ -66,6 +69,7 @@
     def follow(self, event: ListEvent) -> None:
         """Apply an event of the feed, and push what it changes as soon as it must go."""
         now = self.clock.now()
+        self.feed_number = max(self.feed_number, event.number)
         change, news = self.fleet.apply(event, now)
         for name in sorted(change.displaced):
             log.warning("%s: its address belongs to a newer server now; it gets nothing new", name)
@@ -156,10 +160,20 @@
     def _push(self, newest: Plan, now: float) -> None:
         self.pacer.push(newest, now)
         found = bodies(newest, self.controller.settings, self.config.proxy)
-        if self.store.update(found, newest.stopped):
+        if self.line is not None:
+            self.line.offer(found, newest.stopped, self.feed_number)
+        elif self.store.update(found, newest.stopped):
             log.debug("snapshot %s.%d", self.present.epoch, self.present.number)
             self._wake()
 
+    def may_tell(self, held: tuple[int, ...]) -> bool:
+        """Whether a proxy that holds this version of the line may be told what is here."""
+        return self.line.may_tell(held) if self.line is not None else not held
+
+    def changed(self) -> None:
+        """Streams are owed something."""
+        self._wake()
+
     def _wake(self) -> None:
         for listener in list(self.listeners):
             listener()
--- a/sageweir/control/snapshot.py
+++ b/sageweir/control/snapshot.py
@@ -82,22 +82,27 @@
 
     def __init__(self, epoch: str, encode: Encoder | None = None) -> None:
         """epoch: new with each start of the service; letters and digits."""
-        self._encode, self._number = encode, 0
+        self.encode, self._number = encode, 0
         self.present = Snapshot(epoch, 0, {}, {})
 
-    def update(self, bodies: Mapping[Key, Body], stopped: frozenset[str]) -> bool:
-        """Take all resources of the newest plan; whether any is new, changed or gone."""
+    def begin(self, epoch: str) -> None:
+        """Number anew under another epoch; what does not change keeps its versions."""
+        old, self._number = self.present, 0
+        self.present = Snapshot(epoch, 0, old.types, old.versions, old.stopped)
+
+    def update(self, bodies: Mapping[Key, Body], stopped: frozenset[str], always: bool = False) -> bool:
+        """Take all resources of the newest plan; whether any is new, changed or gone. always: it counts as changed."""
         old, epoch = self.present, self.present.epoch
         types: dict[str, dict[str, Resource]] = {t: {} for t in ORDER}
         versions = dict(old.versions)
         number = self._number + 1
-        changed = False
+        changed = always
         for (type_url, name), body in bodies.items():
             before = old.of(type_url).get(name)
             if before is not None and before.body == body:
                 types[type_url][name] = before
                 continue
-            types[type_url][name] = Resource(type_url, name, f"{epoch}.{number}", body, self._encode)
+            types[type_url][name] = Resource(type_url, name, f"{epoch}.{number}", body, self.encode)
             versions[type_url], changed = f"{epoch}.{number}", True
         for type_url in ORDER:
             if old.of(type_url).keys() - types[type_url].keys():
--- a/sageweir/control/subscriptions.py
+++ b/sageweir/control/subscriptions.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 
 from sageweir.control.lease import may_renew
+from sageweir.control.line import read_version
 from sageweir.control.snapshot import CLUSTER, ENDPOINT, FULL_STATE, ORDER, Key, Resource, Snapshot
 from sageweir.limits import Limits
 
@@ -125,6 +126,7 @@
         self._count = 0
         self._held_since: dict[Key, float] = {}
         self.unknown_nonces = 0
+        self.claimed: tuple[int, ...] = ()  # the newest version of the line that the proxy came with
 
     # Asking
 
@@ -144,6 +146,8 @@
         books = self.types.get(ask.type_url)
         first = books is None
         books = books or _Type()
+        if first:
+            self.claimed = max(self.claimed, *map(read_version, (ask.version, *ask.held.values())))
         refused = None
         if not first and ask.nonce:
             flight = books.flights.get(ask.nonce)
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -111,6 +111,9 @@
     def adopt(self, attempt: Attempt) -> bool:
         """Take up a call that stands; False where its server is not in the list."""
 
+    def test(self, server: str, done: Callable[[bool], None]) -> None:
+        """Test a server; whether it has passed is told once, in time."""
+
 
 @dataclass(eq=False, slots=True)
 class Call:
@@ -159,6 +162,17 @@
         """So many session controllers are there now, or may be."""
         self._post(api.FleetSize(members))
 
+    def test(self, server: str, done: Callable[[bool], None]) -> None:
+        """Test a clearing server by the protocol's own means; whether it has passed is told once, in time."""
+        if self.servers is None:
+            done(False)
+        else:
+            self.servers.test(server, done)
+
+    def tell(self, event: api.ColdPart | api.Probed) -> None:
+        """What another session controller does for all."""
+        self._post(event)
+
     def _work(self) -> None:
         self._scheduled = False
         while self._inbox:
--- a/sageweir/lab/coldfleet.py
+++ b/sageweir/lab/coldfleet.py
@@ -67,6 +67,11 @@
         arrives = sent + WAY_MS
 
         def arrive() -> None:
+            if name in self.fleet.silent:
+                self.fleet.tests += 1
+                end = api.AttemptEnded(call, number, name, api.Outcome.TIMED_OUT, timeout_ms, False)
+                sim.after(sent + timeout_ms - sim.now, lambda: self.handle(end))
+                return
             server.times.append(sim.now)
             server.rule.sent(sim.now)
             done = server.processor.set_up(sim.now)
@@ -109,7 +114,8 @@
         self.open: list[Gateway] = []  # to which callers go now
         self.attempts: dict[str, int] = {}
         self.due: dict[str, float] = {}
-        self.offered = self.in_time = self.refused = 0
+        self.offered = self.in_time = self.refused = self.tests = 0
+        self.silent: set[str] = set()  # servers that take set-ups and answer none; tests: set-ups sent there
         for name in names[:members]:
             self.join(name, 0.0)
         self.sim.after(0.0, self._call)
--- a/sageweir/lab/dutysim.py
+++ b/sageweir/lab/dutysim.py
@@ -15,7 +15,7 @@
 
 from sageweir.cluster.duties.elector import Elector, Timing
 from sageweir.cluster.duties.fence import Fence
-from sageweir.cluster.duties.messages import Ask, Free, Hand, Memory, Message, Recall, Say
+from sageweir.cluster.duties.messages import Ask, Free, Hand, Memory, Message, Notice, Recall, Say
 from sageweir.cluster.duties.seeker import Seeker
 from sageweir.lab.faults.script import Fault, Links, last_end, partition, steps
 
@@ -75,6 +75,7 @@
         seeker.start(now)
         self.after(0.0, lambda: self._tick(process))
         self.after(0.0, lambda: self._act(process))
+        self.after(self.draw.uniform(0.0, self.timing.lease_ms / 3), lambda: self._notice(process))
         return process
 
     # Events
@@ -136,6 +137,8 @@
                 return seeker.said(now, message)
             case Hand():
                 return seeker.handed(now, message)
+            case Notice():
+                seeker.noticed(now, message.term, message.seeker)
         return []
 
     def _write(self, process: Process, terms: dict[str, int]) -> None:
@@ -166,6 +169,16 @@
             way = self.draw.uniform(*WAY_MS) + self.links.of(process.name, "").delay * PERIOD_MS + late
             self.after(way, lambda: self._acted(process.name, term))
 
+    def _notice(self, process: Process) -> None:
+        """A holder's word to all, at each third of a lease."""
+        if not process.running or self.processes.get(process.name, process) is not process:
+            return
+        self.after(self.timing.lease_ms / 3, lambda: self._notice(process))
+        if not process.stopped and (term := process.seeker.holds(self.clock(process))) is not None:
+            for name in self.names:
+                if name != process.name:
+                    self._send(process, name, Notice(DUTY, term, process.name, process.seeker.boot, 0))
+
     def _acted(self, name: str, term: int) -> None:
         self.acts += 1
         if self.fence.admits(DUTY, term):
--- a/sageweir/lab/invariants.py
+++ b/sageweir/lab/invariants.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from sageweir.cluster.duties import warden
 from sageweir.cluster.tuning import Tuning
 from sageweir.cluster.view import STOOD, SUSPECTED
 
@@ -89,6 +90,85 @@
     return found
 
 
+def check_duties(audits: Iterable[Sequence[Row]]) -> list[str]:
+    """Violations by what holders, electors and those acted on have written; an audit is one process's rows, in order.
+
+    real_ms: one clock for all processes, read before a holder looked at its lease, and before a fence looked at a term.
+    """
+    audits = [list(rows) for rows in audits]
+    found: list[str] = []
+    owner: dict[tuple[str, int], tuple[str, int]] = {}  # who won a term
+    won: dict[str, dict[int, float]] = defaultdict(dict)  # by duty and term: when it was won,
+    last: dict[str, dict[int, float]] = defaultdict(dict)  # and when it was last found to be held
+    acts: dict[tuple[str, int, int], set[int]] = defaultdict(set)  # by duty, term, boot: which acts went out
+    granted: dict[tuple[str, str, int], tuple[str, int]] = {}  # by elector, duty, term: to whom
+    for row in (row for rows in audits for row in rows):
+        duty, term, mine = row["duty"], row["term"], (row["me"], row["boot"])
+        match row["do"]:
+            case "won":
+                if owner.setdefault((duty, term), mine) != mine or term in won[duty]:
+                    found.append(f"{duty}: term {term} was won by {owner[duty, term]} and by {mine}")
+                won[duty][term] = row["real_ms"]
+            case "act":
+                acts[duty, term, row["boot"]].add(row["count"])
+                last[duty][term] = max(last[duty].get(term, 0.0), row["real_ms"])
+            case "granted":
+                to = row["to"], row["to_boot"]
+                if granted.setdefault((row["me"], duty, term), to) != to:
+                    found.append(f"{duty}: {row['me']} granted term {term} to {to} and to "
+                                 f"{granted[row['me'], duty, term]}")
+    for duty, terms in won.items():
+        order = sorted(terms)
+        for i, term in enumerate(order[:-1]):
+            for later in order[i + 1:]:
+                if terms[later] <= terms[term] or terms[later] < last[duty].get(term, 0.0):
+                    found.append(f"{duty}: term {later} was won at {terms[later]:.0f}, term {term} at {terms[term]:.0f}"
+                                 f" and still held at {last[duty].get(term, 0.0):.0f}")
+    for rows in audits:
+        highest: dict[str, int] = {}
+        for row in rows:
+            duty, term, where = row["duty"], row["term"], f"{row['duty']} at {row['me']}"
+            if row["do"] == "took":
+                if term < highest.get(duty, 0):
+                    found.append(f"{where}: an act under {term} was let in after {highest[duty]}")
+                highest[duty] = term
+                if row["count"] not in acts[duty, term, row["of_boot"]]:
+                    found.append(f"{where}: act {row['count']} of {row['by']} under {term} was never done")
+            elif row["do"] == "refused" and term >= highest.get(duty, 0):
+                found.append(f"{where}: an act under {term} was refused, {highest.get(duty, 0)} was the highest")
+    return found
+
+
+def check_parts(audits: Iterable[Sequence[Row]]) -> list[str]:
+    """Parts of cold servers' budgets that are out together, against what members wanted; across all terms."""
+    rows = sorted((row for rows in audits for row in rows if row["do"] in ("want", "gave")
+                   and row["duty"] == warden.DUTY), key=lambda row: row["real_ms"])
+    found: list[str] = []
+    wanted: dict[tuple[str, float], dict[str, list[tuple[float, float]]]] = defaultdict(lambda: defaultdict(list))
+    given: dict[tuple[str, float], dict[str, list[tuple[float, float]]]] = defaultdict(lambda: defaultdict(list))
+    for row in rows:
+        at, data = row["real_ms"], bytes.fromhex(row["state"])
+        if row["do"] == "want":
+            asks = warden.decode_asks(data)
+            for ask in asks.servers if asks is not None else ():
+                wanted[ask.server, ask.started_ms][row["me"]].append((at, ask.own))
+            continue
+        for part in warden.decode_given(data):
+            key = (part.server, part.started_ms)
+            given[key][row["to"]].append((at, part.rate))
+            out = _most(given[key], at - part.lasts_ms)
+            budget = _most(wanted[key], at - part.lasts_ms - warden.FRESH_MS - 500.0)
+            if out > budget + 1e-6:
+                found.append(f"{part.server}: at {at:.0f} {out:.2f}/s is out under term {row['term']}, "
+                             f"{budget:.2f}/s was wanted")
+    return found
+
+
+def _most(rates: Mapping[str, list[tuple[float, float]]], since: float) -> float:
+    """The sum over members of the highest rate of each since then."""
+    return sum(max((rate for at, rate in of if at >= since), default=0.0) for of in rates.values())
+
+
 def check_views(views: Sequence[Row], living: set[str]) -> list[str]:
     """What is wrong with snapshots that should agree by now; each of a process that lives. living: names that do."""
     found: list[str] = []
--- a/sageweir/lab/servers.py
+++ b/sageweir/lab/servers.py
@@ -73,6 +73,8 @@
             message = orjson.loads(line)
             if message["msg"] == "close":
                 machine.standing.discard(message["sid"])
+            if message["msg"] == "probe":
+                self.say(b'{"msg":"probed","sid":"%b","attrs":{},"code":1}\n' % message["sid"].encode())
             if message["msg"] != "open":
                 continue
             done = machine.set_up(message["attrs"]["class"], now)
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -63,11 +63,14 @@
     stop_killed_ms: float = 3700.0  # the platform kills so long after SIGTERM, or later
     fresh_ms: float = 300.0  # a new connection may be silent so long while clients are sent away
     linger_ms: float = 1000.0  # the peer's close is awaited so long after ours (WebSocket)
+    test_ms: float = 400.0  # a test of a clearing server without an answer has failed
+    tests: int = 16  # that are out to one server
     # The fleet's common things (sageweir/cluster)
     cluster_exchanges: int = 16  # full exchanges at once, and as many asked for
     cluster_exchange_ms: float = 2000.0  # one of them
     cluster_buffer_bytes: int = 256 * 1024  # datagrams that wait, either way
     cluster_listen_ms: float = 200.0  # between tries for a port that another process still has
+    cluster_writes: int = 64  # of an elector that wait for its disk
     cluster_audit_bytes: int = 64 * 1024 * 1024  # of the file that keeps all changes
     # The control service's streams (sageweir/control)
     xds_streams: int = 2000  # open at once
--- a/sageweir/net/admin.py
+++ b/sageweir/net/admin.py
@@ -15,6 +15,7 @@
 log = logging.getLogger("sageweir.admin")
 
 Command = Callable[[], str]  # the whole reply, without its last line end
+Call = Callable[[list[str]], str]  # with words; why not, else nothing
 
 
 def granted(reason: str) -> str:
@@ -83,8 +84,9 @@
 class AdminSide:
     """All operators' connections; their number is set aside beside callers'."""
 
-    def __init__(self, clock: Clock, limits: Limits, commands: Mapping[str, Command]) -> None:
-        self.clock, self.limits, self.commands = clock, limits, commands
+    def __init__(self, clock: Clock, limits: Limits, commands: Mapping[str, Command],
+                 calls: Mapping[str, Call] | None = None) -> None:
+        self.clock, self.limits, self.commands, self.calls = clock, limits, commands, calls or {}
         self.connections: dict[AdminConnection, None] = {}  # oldest first
         self._server: asyncio.Server | None = None
 
@@ -115,9 +117,13 @@
         except UnicodeDecodeError:
             return "FAILURE a call is ASCII text"
         command = self.commands.get(word)
+        first, *words = word.split() or [""]
+        if command is None and (call := self.calls.get(first)) is not None:
+            def command() -> str:
+                return granted(call(words))
         if command is None:
-            return f"FAILURE unknown call {word!r:.40}, known are {', '.join(self.commands)}" if word \
-                else "FAILURE an empty call"
+            known = ", ".join((*self.commands, *self.calls))
+            return f"FAILURE unknown call {word!r:.40}, known are {known}" if word else "FAILURE an empty call"
         try:
             return command()
         except Exception:
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
+from random import Random
 
 from dahliabridge import interface as api
 from sageweir.clock import Clock, Timer
@@ -85,6 +86,8 @@
                 if attempt is not None and attempt.state is State.OVER:
                     self.link.forget(attempt)
             case Kind.STATUS | Kind.TESTED:
+                if message.kind is Kind.TESTED and (done := self.link.tests.pop(name, None)) is not None:
+                    done(message.cause == 1)
                 if report:
                     exchange.reported(self.link.name, report)
             case Kind.PROGRESS:
@@ -158,6 +161,7 @@
         self.queue: list[Attempt] = []  # attempts that wait for a connection
         self.standing: dict[str, Attempt] = {}
         self.releases: dict[str, int] = {}  # releases of ours that wait for a connection
+        self.tests: dict[str, Callable[[bool], None]] = {}  # that are out
         self.heard_at = side.clock.now()
         self.dialing: asyncio.Task[None] | None = None
         self.coming: ServerConnection | None = None  # dialled, and not open yet
@@ -299,6 +303,22 @@
             log.warning("%s: no connection for call %s", self.name, name)
             self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
 
+    def test(self, done: Callable[[bool], None]) -> None:
+        """Test the server, on a sound connection if there is one; what is not answered in time has failed."""
+        limits, name = self.side.limits, f"{self.side.draw.getrandbits(64):016x}"
+        up = sorted((c for c in self.connections if c.up), key=lambda c: c.suspect)
+        if not up or up[0].suspect:
+            self.dial()
+        if not up or len(self.tests) >= limits.tests or not up[0].say(Message(Kind.TEST, name)):
+            done(False)
+            return
+        self.tests[name] = done
+        self.side.clock.after(limits.test_ms, lambda: self._test_over(name))
+
+    def _test_over(self, name: str) -> None:
+        if (done := self.tests.pop(name, None)) is not None:
+            done(False)
+
     def give_up(self, attempt: Attempt) -> None:
         if attempt in self.queue:  # never sent
             self.queue.remove(attempt)
@@ -422,6 +442,7 @@
         self.clock, self.limits, self.exchange, self.wire = clock, limits, exchange, wire
         self.links: dict[str, ServerLink] = {}
         self.leaving: set[ServerLink] = set()  # gone from the list, with calls that may still stand
+        self.draw = Random()  # names tests; decides nothing
         exchange.servers = self
 
     def follow(self, listed: Iterable[Listed], complete: bool) -> None:
@@ -514,6 +535,13 @@
             link.dial()
         return True
 
+    def test(self, server: str, done: Callable[[bool], None]) -> None:
+        link = self.links.get(server)
+        if link is None:
+            done(False)
+        else:
+            link.test(done)
+
     def addresses(self) -> dict[str, Address]:
         """Where each listed server is reached, for proxies that follow the module's decisions."""
         return {name: link.address for name, link in self.links.items()}
--- /dev/null
+++ b/tests/test_cluster_duties_fleet.py
@@ -0,0 +1,274 @@
+"""Duties among several processes of the program, by its ordinary command line, with faults between them.
+
+Safety is judged on the audit files of holders, electors and those acted on; liveness by waiting until one holds each
+duty.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from sageweir.cli import main
+from sageweir.lab.faults.cases import DUTY_CASES
+from sageweir.lab.faults.rig import FleetRig
+from sageweir.lab.faults.script import Fault, partition
+from sageweir.lab.feed import FeedStandIn, row
+from sageweir.lab.invariants import check_duties
+from sageweir.lab.rig import Worker, free_ports
+from sageweir.lab.upgrade import Caller, Seen
+
+AT_ONCE, ELECTORS = 4, 3
+NAMES = [f"m{i}" for i in range(5)]
+PERIODS, DUTY = 80.0, "prober"
+
+
+def fleet(case: str, **more: Any) -> FleetRig:
+    return FleetRig(NAMES, electors=ELECTORS, seed=sum(map(ord, case)), **more)
+
+
+async def held(rig: FleetRig) -> str:
+    await rig.until_alike(PERIODS)
+    await rig.until_held(PERIODS)
+    return (await rig.holder(DUTY)).name
+
+
+async def play(case: str) -> None:
+    async with fleet(case) as rig:
+        holder = await held(rig)
+        rig.script = DUTY_CASES[case](NAMES, ELECTORS, holder)
+        await rig.play()
+        await rig.until_held(PERIODS)
+        rig.check()
+        rows = [row for rows in rig.duty_audits() for row in rows]
+        if case == "the holder is stopped in the middle of its acts":
+            assert [row for row in rows if row["do"] == "refused" and row["by"] == holder]
+            assert any("an act was refused" in rig.log(place) and "is over" in rig.log(place) for place in rig.places)
+        calm = ("the holder's clock drifts to the bound", "a minority of electors dies")
+        if case in calm and holder not in NAMES[:1]:
+            assert len({row["term"] for row in rows if row["do"] == "won" and row["duty"] == DUTY}) == 1
+
+
+async def hand_over(rig: FleetRig, asked: str, to: str) -> str:
+    place = next(place for place in rig.up() if place.name == asked)
+    return (await rig.ask(place, f"hand-over {DUTY} {to}")).strip()
+
+
+async def handed_on(case: str) -> None:
+    """By the operator, at any member; the state goes along, and the others follow."""
+    async with fleet(case) as rig:
+        holder = await held(rig)
+        to = next(name for name in reversed(NAMES) if name != holder)
+        place = next(place for place in rig.up() if place.name not in (holder, to))
+
+        async def call(*words: str) -> Any:
+            return await asyncio.to_thread(CliRunner().invoke, main, ["cluster", *words, place.admin])
+
+        shown = await call("hand-over", DUTY, to)
+        assert shown.exit_code == 0 and f"{DUTY} is held by {to} under term" in shown.output, shown.output
+        await rig.until_held(PERIODS)
+        assert (await rig.holder(DUTY)).name == to
+        anybody = await call("hand-over", DUTY)
+        assert anybody.exit_code == 0 and (await rig.holder(DUTY)).name != to, anybody.output
+        wrong = await call("hand-over", "nothing")
+        assert wrong.exit_code == 1 and "no duty 'nothing'" in wrong.output
+        wrong = await call("electors", "remove", "nobody")
+        assert wrong.exit_code == 1 and "nobody is no elector" in wrong.output
+        listed = await call("show")
+        assert f"{DUTY}: held by" in listed.output and "electors, version 1" in listed.output
+        rig.check()
+
+
+async def receiver_dies(case: str) -> None:
+    """The one it is handed to is killed at any step of that."""
+    async with fleet(case) as rig:
+        for late in (0.0, 0.002, 0.005, 0.01, 0.03):
+            holder = await held(rig)
+            to = next(name for name in reversed(NAMES) if name != holder)
+            asked = asyncio.create_task(hand_over(rig, holder, to))
+            await asyncio.sleep(late)
+            await rig.play([Fault(0, "kill", (to,))])
+            await asked
+            await rig.until_held(PERIODS)
+            await rig.play([Fault(0, "start", (to,))])
+        rig.check()
+
+
+async def both_end(case: str) -> None:
+    """SIGTERM of the holder, and of whom it hands its duty to, at once."""
+    async with fleet(case) as rig:
+        holder = await held(rig)
+        to = next(name for name in reversed(NAMES) if name != holder)
+        await hand_over(rig, holder, to)
+        await rig.play([Fault(0, "leave", (holder, to))])
+        await rig.until_held(PERIODS)
+        await rig.play([Fault(0, "start", (holder, to))])
+        await rig.until_held(PERIODS)
+        rig.check()
+
+
+async def drained(case: str) -> None:
+    """A drain hands all duties on, and the drained one takes none until it is resumed; an upgrade does so too."""
+    async with fleet(case, held=[NAMES[3]]) as rig:
+        holder = await held(rig)
+        place = next(place for place in rig.up() if place.name == NAMES[3])
+        if holder != NAMES[3]:
+            await hand_over(rig, holder, NAMES[3])
+            await rig.until(lambda views: [str(view["duties"][DUTY]) for view in views
+                                           if view["duties"][DUTY]["holder"] != NAMES[3]], PERIODS)
+        assert (await rig.ask(place, "drain")).startswith("SUCCESS")
+        await rig.until_held(PERIODS)
+        assert (await rig.holder(DUTY)).name != NAMES[3]
+        assert (await rig.ask(place, "resume")).startswith("SUCCESS")
+        await hand_over(rig, (await rig.holder(DUTY)).name, NAMES[3])
+        await rig.until(lambda views: [str(view["duties"][DUTY]) for view in views
+                                       if view["duties"][DUTY]["holder"] != NAMES[3]], PERIODS)
+        await rig.upgrade(place)
+        await rig.until_alike(PERIODS)
+        await rig.until_held(PERIODS)
+        rig.check()
+
+
+async def electors_change(case: str) -> None:
+    """One elector is cut off, taken from the list and another put in its place; then it comes back."""
+    async with fleet(case) as rig:
+        await held(rig)
+        away, rest = NAMES[0], NAMES[1:]
+        cuts = partition(0, 400, [[away], rest])
+        for cut in cuts:
+            rig.links.step(cut, True)
+        await rig.until(lambda views: [view["me"] for view in views if view["me"] in rest and any(
+            one["holder"] in (None, away) for one in view["duties"].values())], PERIODS)
+        one = next(place for place in rig.places if place.name == NAMES[1])
+        assert "3 to 7" not in await rig.ask(one, f"electors remove {away}")
+        await version(rig, 2, rest)
+        port = next(place.port for place in rig.places if place.name == NAMES[3])
+        assert (await rig.ask(one, f"electors add {NAMES[3]} 127.0.0.1:{port}")).startswith("SUCCESS")
+        await version(rig, 3, rest)
+        # One that starts anew knows the list in force from its disk or from the others, not from its file.
+        await rig.play([Fault(0, "kill", (NAMES[2],)), Fault(1, "start", (NAMES[2],), size=2)])
+        await version(rig, 3, rest)
+        for cut in cuts:
+            rig.links.step(cut, False)
+        await rig.play([Fault(0, "kill", (away,)), Fault(1, "start", (away,))])
+        await rig.until_alike(PERIODS)
+        await version(rig, 3, NAMES)
+        await rig.until_held(PERIODS)
+        view = await rig.view(next(place for place in rig.places if place.name == away))
+        assert view["elector"] is None and sorted(view["electors"]) == NAMES[1:4]
+        rig.check()
+
+
+async def version(rig: FleetRig, wanted: int, names: list[str]) -> None:
+    await rig.until(lambda views: [f"{view['me']} has {view['electors_version']}" for view in views
+                                   if view["me"] in names and view["electors_version"] != wanted], PERIODS)
+
+
+async def under_load(case: str) -> None:
+    """All electors are restarted, one after the other, while callers make calls at others."""
+    feed, ports = FeedStandIn(), free_ports(2)
+    await feed.start()
+    machines = await Worker.start("sageweir.lab.servers", {
+        "model": {"work_ms": 2.0, "cold_ms": 0.0, "cold_from": 1.0}, "fall_multiple": 3.0, "fall_ms": 1000.0,
+        "ports": ports, "hold_ms": 500.0})
+    for i, port in enumerate(ports):
+        await machines.ask(do="start", port=port, name=f"s-{i}", started_ms=0.0)
+    feed.push([row(f"s-{i}", port, i) for i, port in enumerate(ports)], complete=True)
+    seen = Seen()
+    try:
+        async with fleet(case, feed=feed.port) as rig:
+            await held(rig)
+            rig.script = DUTY_CASES["a rolling restart of all electors"](NAMES, ELECTORS, "")
+            until = time.time() + 10.0
+            calls = [asyncio.create_task(Caller(rig.clients[name], seen, i).run(8.0, until))
+                     for i, name in enumerate(NAMES[-2:])]
+            await rig.play()
+            await rig.until_held(PERIODS)
+            await asyncio.gather(*calls)
+            rig.check()
+    finally:
+        await machines.stop()
+        await feed.stop()
+    finals = [[word for word in words if word != "over"] for words in seen.words.values()]
+    assert len(finals) > 20 and all(words == ["served"] for words in finals)
+
+
+async def all_forgotten(case: str) -> None:
+    """All electors lose memory and disk, and all candidates but one theirs: what can't be had. Terms start low.
+
+    The safe side: the one that remembers lets none of those acts in, and says why, so that the next terms are above.
+    """
+    async with fleet(case) as rig:
+        holder = await held(rig)
+        keeper = next(name for name in (NAMES[4], NAMES[3]) if name != holder)
+        others = tuple(name for name in NAMES if name != keeper)
+        await rig.play([Fault(0, "kill", others), *(Fault(1, "start", (name,), size=2) for name in others)])
+        await rig.until_held(PERIODS)
+        place = next(place for place in rig.places if place.name == keeper)
+        await rig.until(lambda views: [str(views[-1]["duties"])] if any(
+            one["holder"] != keeper and one["term"] < one["fence"] for view in views
+            if view["me"] == keeper for one in view["duties"].values()) else [], PERIODS)
+        assert (await rig.view(place))["boot"]
+        assert not [text for text in check_duties(rig.duty_audits()) if "let in after" in text]
+
+
+MORE = {"handed on by the operator": handed_on, "the receiver dies at any step": receiver_dies,
+        "holder and successor end together": both_end, "a drain and an upgrade": drained,
+        "electors change while one is cut off": electors_change, "electors restart under load": under_load,
+        "all electors forget everything": all_forgotten}
+ALL = [*DUTY_CASES, *MORE]
+
+
+@pytest.fixture(scope="module")
+def outcomes() -> dict[str, BaseException | None]:
+    """All cases, some at once: each waits for its own processes only."""
+    found: dict[str, BaseException | None] = {}
+
+    async def one(case: str, turns: asyncio.Semaphore) -> None:
+        async with turns:
+            try:
+                await MORE.get(case, play)(case)
+                found[case] = None
+            except BaseException as error:
+                found[case] = error
+
+    async def run() -> None:
+        turns = asyncio.Semaphore(AT_ONCE)
+        await asyncio.gather(*(one(case, turns) for case in ALL))
+
+    asyncio.run(run())
+    return found
+
+
+@pytest.mark.parametrize("case", ALL)
+def test_processes(case: str, outcomes: dict[str, BaseException | None]) -> None:
+    if (error := outcomes[case]) is not None:
+        raise error
+
+
+# The check itself
+
+WON = {"me": "a", "boot": 1, "duty": "d", "do": "won", "term": 1, "real_ms": 10.0, "why": ""}
+ACT = {"me": "a", "boot": 1, "duty": "d", "do": "act", "term": 1, "real_ms": 20.0, "count": 1}
+TOOK = {"me": "b", "boot": 2, "duty": "d", "do": "took", "term": 1, "real_ms": 21.0, "by": "a", "of_boot": 1,
+        "count": 1}
+
+
+@pytest.mark.parametrize(("audits", "word"), [
+    ([[WON, ACT], [TOOK, TOOK | {"count": 2}]], "was never done"),
+    ([[WON, ACT], [WON | {"me": "c", "boot": 3}]], "was won by"),
+    ([[WON, ACT], [WON | {"me": "c", "boot": 3, "term": 2, "real_ms": 15.0}]], "still held at 20"),
+    ([[WON, WON | {"term": 2, "real_ms": 5.0}]], "was won at 5"),
+    ([[WON, ACT, ACT | {"term": 2}], [TOOK | {"term": 2}, TOOK]], "let in after 2"),
+    ([[WON, ACT], [TOOK | {"do": "refused", "highest": 1}]], "was refused"),
+    ([[{"me": "e", "boot": 5, "duty": "d", "do": "granted", "term": 1, "to": "a", "to_boot": 1},
+       {"me": "e", "boot": 6, "duty": "d", "do": "granted", "term": 1, "to": "b", "to_boot": 2}]], "granted term 1"),
+])
+def test_the_check_of_audits_finds(audits: list[list[dict[str, Any]]], word: str) -> None:
+    assert check_duties([[WON, ACT], [TOOK]]) == []
+    assert any(word in text for text in check_duties(audits)), orjson.dumps(check_duties(audits))
--- /dev/null
+++ b/tests/test_cluster_works.py
@@ -0,0 +1,532 @@
+"""What is done under duties: each duty's core, and several processes at work under load, with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import grpc
+import orjson
+import pytest
+
+from sageweir.ask import ask
+from sageweir.cluster.duties import prober, warden
+from sageweir.cluster.duties.store import Kept, Store
+from sageweir.control.encoding import encode
+from sageweir.control.line import Line, read_version, without
+from sageweir.control.resources import cluster_name
+from sageweir.control.snapshot import ENDPOINT, Body, SnapshotStore
+from sageweir.lab.client import XdsClient
+from sageweir.lab.faults.rig import ROOT, FleetRig
+from sageweir.lab.faults.script import Fault
+from sageweir.lab.feed import FeedStandIn, row
+from sageweir.lab.invariants import check_duties, check_parts
+from sageweir.lab.proxies import METHOD
+from sageweir.lab.rig import Worker, free_ports
+from sageweir.lab.upgrade import Caller, Seen
+from tests.test_control_decisions import FILE, STATUS
+
+NAMES, PERIODS = [f"m{i}" for i in range(4)], 80.0
+
+
+# The warden
+
+def asks(own: float, up_ms: float = 1e6, takes: float = 0.0) -> warden.Asks:
+    return warden.Asks(up_ms, (warden.Ask("s", 5.0, own, takes),))
+
+
+def test_parts_are_even_by_what_members_want_and_never_over_the_budget() -> None:
+    one = warden.Warden(0.05)
+    one.took(0.0, b"")
+    assert one.asked(10.0, "a", asks(4.0)) == () == one.asked(one.quiet_until - 1, "b", asks(2.0))
+    now = one.quiet_until
+    (a,), (b,) = one.asked(now, "a", asks(4.0)), one.asked(now, "b", asks(2.0))
+    assert (a.rate, b.rate, a.lasts_ms) == (4.0, 2.0, warden.PART_MS)
+    (c,) = one.asked(now + 10, "c", asks(6.0, up_ms=1500.0))  # just started: half of its flow counts
+    assert c.rate == 3.0 and not one.over(now + 10)
+    # The server says what it takes of all, and others have it already.
+    (less,) = one.asked(now + 20, "a", asks(4.0, takes=4.5))
+    assert less.rate == 0.0
+    late = now + 30 + warden.FRESH_MS
+    (again,) = one.asked(late, "a", asks(4.0, takes=3.0))
+    assert again.rate == 3.0
+
+
+def test_a_warden_that_knows_nothing_waits_and_one_that_was_told_counts_what_is_out() -> None:
+    old, new = warden.Warden(0.05), warden.Warden(0.05)
+    old.took(0.0, b"")
+    assert old.state(10.0) == b""
+    now = old.quiet_until
+    old.asked(now, "a", asks(4.0))
+    old.asked(now, "b", asks(2.0))
+    new.took(7000.0, old.state(now + 100))
+    (b,) = new.asked(7000.0, "b", asks(2.0))
+    assert b.rate == 0.0  # six are out, as far as it knows
+    new.asked(7000.0, "a", asks(4.0))
+    (b,) = new.asked(7000.0 + 1.1 * new.counts_ms, "b", asks(2.0))
+    assert b.rate == 2.0
+    new.took(9000.0, b"rubbish")
+    assert new.asked(9000.0, "a", asks(1.0)) == ()
+
+
+def test_odd_words_to_a_warden_are_ignored_and_its_memory_is_bounded() -> None:
+    assert warden.decode_asks(b"x") is None and list(warden.decode_given(b"x")) == []
+    one = warden.Warden(0.05)
+    one.took(0.0, b"")
+    for i in range(1000):
+        one.asked(1e6 + 10_000.0 * i, "a", warden.Asks(1e6, (warden.Ask(f"s{i}", 0.0, -1.0),)))
+    assert len(one.ledgers) <= 4 * warden.SERVERS_MAX + 2
+
+
+# The prober
+
+KEY = ("s", 5.0)
+
+
+def test_a_server_is_silent_after_two_failed_tests_and_back_with_the_first_that_passes() -> None:
+    one = prober.Prober()
+    assert one.due(0.0) == []
+    one.reported(0.0, "a", [prober.Bad(*KEY)])
+    assert one.due(1.0) == [KEY] and one.due(2.0) == []  # under test
+    one.result(400.0, KEY, False)
+    assert one.outcomes(400.0) == () and one.due(500.0) == [KEY]
+    one.result(900.0, KEY, False)
+    assert one.outcomes(1000.0) == (prober.Outcome(*KEY, True, 100.0),)
+    assert one.due(9000.0) == [KEY]  # nobody needs to tell again
+    assert one.outcomes(9000.0) == ()  # an old outcome is none
+    one.result(9100.0, KEY, True)
+    assert one.outcomes(9200.0) == (prober.Outcome(*KEY, False, 100.0),)
+    state = one.state(9200.0)
+    other = prober.Prober()
+    other.took(50.0, state)
+    assert list(other.cases) == [KEY] and prober.decode(b"x") == () == prober.decode_bad(b"x")
+
+
+def test_a_server_that_passes_tests_and_answers_nothing_is_told_back_ever_more_rarely() -> None:
+    one, told, now = prober.Prober(), 0, 0.0
+    for _ in range(240):  # two minutes, in which a member goes on to tell
+        now += 500.0
+        one.reported(now, "a", [prober.Bad(*KEY)])
+        before = one.cases[KEY].back_at
+        for key in one.due(now):
+            one.result(now, key, True)
+        told += one.cases[KEY].back_at != before
+    assert 1 <= told <= 6
+
+
+def test_a_member_heeds_what_is_young_and_tests_by_itself_now_and_then() -> None:
+    one = prober.Heeder(Random(1))
+    silent, back = prober.Outcome(*KEY, True, 100.0), prober.Outcome(*KEY, False, 100.0)
+    assert one.heed(0.0, (silent,)) == [silent] and one.heed(0.0, (prober.Outcome(*KEY, True, 4000.0),)) == []
+    heeded = [bool(one.heed(now, (silent,))) for now in range(500, 120_000, 500)]
+    assert 0 < heeded.count(False) <= 4 * 4 * 2  # two seconds each time
+    assert one.heed(120_000.0, (back,)) == [back] and one.heed(120_500.0, (back,)) == []
+
+
+# The disk
+
+def test_a_store_gives_back_what_it_took_and_nothing_else(tmp_path: Path) -> None:
+    store = Store(tmp_path / "elector")
+    assert store.read() is None
+    kept = Kept({"d": 7}, 2, {"a": "127.0.0.1:1"}, (3, {"b": "127.0.0.1:2"}))
+    store.write(kept)
+    assert store.read() == kept
+    data = (tmp_path / "elector").read_bytes()
+    for bad in (data[:-1], b"", data[:4] + b"x" + data[5:], data + b"x"):
+        (tmp_path / "elector").write_bytes(bad)
+        assert store.read() is None
+    Store(None).write(kept)
+    assert Store(None).read() is None
+    with pytest.raises(OSError):
+        Store(tmp_path / "nowhere" / "elector").write(kept)
+
+
+# The line of versions
+
+def endpoints(*names: str) -> Body:
+    rows = [{"locality": {"sub_zone": name}, "load_balancing_weight": 1, "lb_endpoints": [
+        {"health_status": "HEALTHY", "endpoint": {"hostname": name}}]} for name in names]
+    return Body({"cluster_name": "c", "endpoints": rows}, offers=frozenset(names))
+
+
+def line() -> Line:
+    return Line(SnapshotStore("start", encode), lambda: None, lambda: None)
+
+
+def state(*names: str) -> dict[tuple[str, str], Body]:
+    return {(ENDPOINT, "c"): endpoints(*names)}
+
+
+def test_instances_tell_what_one_has_published_and_take_out_what_stops_by_themselves() -> None:
+    first, other = line(), line()
+    first.offer(state("a", "b"), frozenset(), 1)
+    assert not first.told and first.store.present.versions == {}  # nothing is published yet
+    first.lead(7)
+    assert first.at == (7, 1) == first.told and first.may_tell((7, 1)) and not first.may_tell((7, 2))
+    assert other.take(first.blob(), 0, 1 << 20) == "" and other.told == (7, 1)
+    assert other.store.present.of(ENDPOINT)["c"].body.offers == {"a", "b"}
+    other.offer(state("a", "b", "new"), frozenset({"b"}), 4)
+    assert list(other.told) == [7, 1, 4] and other.store.present.of(ENDPOINT)["c"].body.offers == {"a"}
+    rows = other.store.present.of(ENDPOINT)["c"].body.json["endpoints"]
+    assert [row["locality"]["sub_zone"] for row in rows] == ["a"]
+    kept = other.store.present.of(ENDPOINT)["c"]
+    other.offer(state("a"), frozenset({"b"}), 5)
+    assert other.store.present.of(ENDPOINT)["c"] is kept  # nothing changed
+    other.offer(state("a", "b"), frozenset(), 6)  # the stop is called off: the version does not go back
+    assert list(other.told) == [7, 1, 6] and other.store.present.of(ENDPOINT)["c"].body.offers == {"a", "b"}
+    first.offer(state("a"), frozenset({"b"}), 6)
+    assert first.at == (7, 2) > other.told and other.take(first.blob(), 0, 1 << 20) == "" and other.told == (7, 2)
+
+
+def test_a_new_publisher_goes_on_above_and_an_old_ones_word_is_refused() -> None:
+    first, second = line(), line()
+    first.offer(state("a"), frozenset(), 5)
+    first.lead(3)
+    old = first.blob()
+    assert second.take(old, 3, 1 << 20) == ""
+    second.offer(state("a", "b"), frozenset(), 4)  # its feed is behind what was published
+    second.lead(8)
+    assert second.at == (3, 1)
+    second.offer(state("a", "b"), frozenset(), 5)
+    assert second.at == (8, 1)
+    first.follow()
+    first.offer(state("a", "x"), frozenset(), 6)
+    assert first.at == (3, 1)
+    assert "term 3 is over, 8 was seen" in second.take(old, 8, 1 << 20) and second.refused == 1
+    assert first.take(second.blob(), 8, 1 << 20) == "" and "not after" in first.take(second.blob(), 8, 1 << 20)
+    assert "it is cut" in first.take(b"x", 0, 1 << 20) and "it is cut" in first.take(b"", 0, 1 << 20)
+    assert "can't be read" in first.take(b"rubbish", 0, 1 << 20) and "over 10 bytes" in first.take(old, 0, 10)
+    assert read_version("L7.2") == (7, 2) and read_version("6650a.2") == () == read_version("L7")
+    assert without(endpoints("a", "b"), frozenset({"a", "b"})).offers == frozenset()
+
+
+# Processes: controllers under load
+
+class Load:
+    """A feed, two clearing servers and callers."""
+
+    def __init__(self, cold_ms: float = 0.0) -> None:
+        self.feed, self.ports, self.seen, self.cold_ms = FeedStandIn(), free_ports(3), Seen(), cold_ms
+        self.machines: Any = None
+        self.calls: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> Load:
+        await self.feed.start()
+        self.machines = await Worker.start("sageweir.lab.servers", {
+            "model": {"work_ms": 2.0, "cold_ms": self.cold_ms, "cold_from": 0.29}, "fall_multiple": 3.0,
+            "fall_ms": 1000.0, "ports": self.ports, "hold_ms": 500.0})
+        for i in range(2):
+            await self.machines.ask(do="start", port=self.ports[i], name=f"s-{i}", started_ms=0.0)
+        self.feed.push([row(f"s-{i}", self.ports[i], i) for i in range(2)], complete=True)
+        return self
+
+    def call(self, rig: FleetRig, seconds: float) -> None:
+        self.calls += [asyncio.create_task(Caller(rig.clients[name], self.seen, i).run(30.0, time.time() + seconds))
+                       for i, name in enumerate(rig.names)]
+
+    async def __aexit__(self, *args: object) -> None:
+        for task in self.calls:
+            task.cancel()
+        await asyncio.gather(*self.calls, return_exceptions=True)
+        await self.machines.stop()
+        await self.feed.stop()
+
+
+async def silent_server(case: str) -> None:
+    """One holder tests a silent server; the others are told, and when it is back; then the holder dies."""
+    async with Load() as load, FleetRig(NAMES, electors=3, feed=load.feed.port, seed=3) as rig:
+        await rig.until_alike(PERIODS)
+        await rig.until_held(PERIODS)
+        load.call(rig, 60.0)
+        await asyncio.sleep(1.0)
+        await load.machines.ask(do="vanish", port=load.ports[0])
+
+        def all_told(views: list[dict[str, Any]]) -> list[str]:
+            works = [view["duties"]["prober"] for view in views]
+            wrong = [str(work) for work in works if not work["work"]["told_the_module"]]
+            return wrong + ["nobody tests"] * (not any(work["work"]["silent"] == ["s-0"] for work in works))
+
+        await rig.until(all_told, PERIODS)
+        holder = await rig.holder("prober")
+        await rig.play([Fault(0, "kill", (holder.name,))])
+        await rig.until_held(PERIODS)
+        await rig.until(lambda views: [] if any(view["duties"]["prober"]["work"]["silent"] == ["s-0"] for view in views)
+                        else ["the next holder does not test"], PERIODS)
+        await load.machines.ask(do="start", port=load.ports[0], name="s-0", started_ms=0.0)
+        await rig.until(lambda views: ["still silent"] * any(
+            view["duties"]["prober"]["work"]["silent"] for view in views), PERIODS)
+        for _ in range(200):
+            if len(await load.machines.ask(do="times", name="s-0")) > 5:
+                break
+            await asyncio.sleep(0.05)
+        else:
+            raise AssertionError("no calls come to a server that is back")
+        rig.check()
+
+
+async def cold_server(case: str) -> None:
+    """A server starts cold; parts are given out, across a handing on, a killed and a stopped warden."""
+    async with Load(14_000.0) as load, FleetRig(NAMES, electors=3, feed=load.feed.port, seed=4) as rig:
+        await rig.until_alike(PERIODS)
+        await rig.until_held(PERIODS)
+        load.call(rig, 60.0)
+        await asyncio.sleep(1.0)
+        now = time.time() * 1000
+        await load.machines.ask(do="start", port=load.ports[2], name="cold", started_ms=now)
+        load.feed.push([row("cold", load.ports[2], 2, started_ms=now)])
+
+        async def parts(more: int) -> None:
+            had = {view["boot"]: view["duties"]["cold-warden"]["work"]["parts_had"] for view in await rig.views()}
+            await rig.until(lambda views: [view["me"] for view in views if view["duties"]["cold-warden"]["work"][
+                "parts_had"] < had.get(view["boot"], 0) + more], PERIODS)
+
+        await parts(3)
+        holder = await rig.holder("cold-warden")
+        to = next(name for name in NAMES if name != holder.name)
+        assert (await rig.ask(holder, f"hand-over cold-warden {to}")).startswith("SUCCESS")
+        await rig.until(lambda views: [str(view["duties"]["cold-warden"]) for view in views
+                                       if view["duties"]["cold-warden"]["holder"] != to], PERIODS)
+        await parts(1)
+        await rig.play([Fault(0, "stop", (to,), lasts=10)])
+        await rig.until_held(PERIODS)
+        await parts(1)
+        rig.check()
+        rows = [one for rows in rig.duty_audits() for one in rows if one["duty"] == "cold-warden"]
+        assert len({one["term"] for one in rows if one["do"] == "gave"}) >= 3
+        cold = await load.machines.ask(do="cold", name="cold")
+        assert cold["set_ups"] > 0
+
+
+# Processes: instances of the control service
+
+class Instances:
+    """Three instances that publish one line; each is an elector."""
+
+    def __init__(self, folder: Path, feed: int) -> None:
+        self.folder, ports = folder, free_ports(9)
+        self.links, self.xds, self.admin = ports[:3], ports[3:6], ports[6:]
+        self.names = [f"c{i}" for i in range(3)]
+        self.processes: list[asyncio.subprocess.Process | None] = [None] * 3
+        for i, name in enumerate(self.names):
+            (folder / name).mkdir()
+            (folder / name / "cluster.json").write_bytes(orjson.dumps({
+                "fleet": "control", "listen": f"127.0.0.1:{self.links[i]}", "period_ms": 250, "lease_ms": 1000,
+                "join": [f"127.0.0.1:{port}" for port in self.links], "state": str(folder / name),
+                "electors": {n: f"127.0.0.1:{p}" for n, p in zip(self.names, self.links, strict=True)},
+                "audit": str(folder / name / "audit.jsonl")}))
+            (folder / name / "control.json").write_bytes(orjson.dumps({k: v for k, v in FILE.items()} | {
+                "name": name, "xds_listen": f"127.0.0.1:{self.xds[i]}", "feed": f"127.0.0.1:{feed}", "lease_ms": 0.0,
+                "rest_listen": "", "admin_addr": f"127.0.0.1:{self.admin[i]}",
+                "cluster": str(folder / name / "cluster.json"), "settings": FILE["settings"] | {"family_info": {}}}))
+
+    async def start(self, i: int) -> None:
+        with (self.folder / self.names[i] / "log.txt").open("ab") as log:
+            self.processes[i] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "sageweir.control", "--config", str(self.folder / self.names[i] / "control.json"),
+                stderr=log, env=os.environ | {"PYTHONPATH": str(ROOT)})
+
+    def signal(self, i: int, number: int) -> None:
+        process = self.processes[i]
+        assert process is not None
+        process.send_signal(number)
+
+    async def show(self, i: int) -> dict[str, Any]:
+        text = await asyncio.to_thread(ask, f"127.0.0.1:{self.admin[i]}", "show-cluster")
+        found: dict[str, Any] = orjson.loads(text.partition("\nEOT")[0])
+        return found
+
+    async def until(self, so: Any, which: tuple[int, ...] = (0, 1, 2)) -> None:
+        for _ in range(400):
+            with contextlib.suppress(OSError, ValueError):
+                if all([so(await self.show(i)) for i in which]):
+                    return
+            await asyncio.sleep(0.05)
+        raise AssertionError([(await self.show(i))["duties"] for i in which])
+
+    async def holder(self) -> int:
+        for _ in range(400):
+            for i in range(3):
+                with contextlib.suppress(OSError, ValueError):
+                    if (await self.show(i))["duties"]["publisher"]["here"] == "holding":
+                        return i
+            await asyncio.sleep(0.05)
+        raise AssertionError("nobody publishes")
+
+    async def close(self) -> None:
+        for process in self.processes:
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    def audits(self) -> list[list[dict[str, Any]]]:
+        by_boot: dict[int, list[dict[str, Any]]] = {}
+        for name in self.names:
+            for text in (self.folder / name / "audit.jsonl.duties").read_bytes().splitlines(keepends=True):
+                if text.endswith(b"\n"):
+                    one = orjson.loads(text)
+                    by_boot.setdefault(one["boot"], []).append(one)
+        return list(by_boot.values())
+
+
+class Proxy:
+    """Moves from instance to instance with what it holds; writes down each version that it takes."""
+
+    def __init__(self, instances: Instances, delta: bool, seed: int) -> None:
+        self.instances, self.client, self.draw = instances, XdsClient(f"proxy-{seed}", delta, False), Random(seed)
+        self.taken: list[tuple[str, str, str]] = []
+        self.streams = 0
+
+    async def run(self) -> None:
+        while True:
+            port = self.draw.choice(self.instances.xds)
+            channel = grpc.aio.insecure_channel(f"127.0.0.1:{port}", options=(("grpc.use_local_subchannel_pool", 1),))
+            with contextlib.suppress(grpc.aio.AioRpcError, TimeoutError, asyncio.InvalidStateError):
+                async with asyncio.timeout(self.draw.uniform(0.3, 1.0)):
+                    await self._follow(channel)
+            await channel.close()
+
+    async def _follow(self, channel: Any) -> None:
+        call = channel.stream_stream(METHOD.format("Delta" if self.client.delta else "Stream"))()
+        self.streams += 1
+        for request in self.client.start():
+            await call.write(request.SerializeToString())
+        while (data := await call.read()) is not grpc.aio.EOF:
+            asked, _ = self.client.take(data, 0.0)
+            for kind, held in self.client.held.items():
+                for name, one in held.items():
+                    if not self.taken or (kind, name, one.version) not in self.taken[-8:]:
+                        self.taken.append((kind, name, one.version))
+            for request in asked:
+                await call.write(request.SerializeToString())
+
+    def servers(self) -> set[str]:
+        held = self.client.held.get(ENDPOINT, {}).get(cluster_name(STATUS))
+        return set() if held is None else {
+            place.locality.sub_zone for place in held.message.endpoints if place.load_balancing_weight.value}
+
+    def went_back(self) -> list[str]:
+        found, last = [], dict[tuple[str, str], tuple[int, ...]]()
+        for kind, name, version in self.taken:
+            now = read_version(version)
+            if not now or now < last.get((kind, name), ()):
+                found.append(f"{name}: {version} after {last.get((kind, name))}")
+            last[kind, name] = max(now, last.get((kind, name), ()))
+        return found
+
+
+async def publish(folder: Path) -> None:
+    """Drains, a killed and a stopped publisher and a handing on, while proxies move between instances."""
+    feed = FeedStandIn()
+    await feed.start()
+    feed.push([row(f"s-{i}", 9000 + i, i) for i in range(4)], complete=True)
+    instances = Instances(folder, feed.port)
+    proxies = [Proxy(instances, delta, 10 * delta + i) for delta in (False, True) for i in range(2)]
+    tasks: list[asyncio.Task[None]] = []
+    try:
+        await asyncio.gather(*(instances.start(i) for i in range(3)))
+        await instances.holder()
+        await instances.until(lambda view: view["duties"]["publisher"]["work"]["told"])
+        tasks = [asyncio.create_task(proxy.run()) for proxy in proxies]
+        await until(lambda: all(len(proxy.servers()) == 4 for proxy in proxies))
+
+        feed.push([row("s-0", 9000, 0, state="DRAINING")])
+        await until(lambda: all("s-0" not in proxy.servers() and len(proxy.servers()) == 3 for proxy in proxies))
+
+        holder = await instances.holder()
+        instances.signal(holder, signal.SIGKILL)
+        feed.push([row("s-1", 9001, 1, state="DRAINING")])  # nobody publishes: each takes it out by itself
+        await until(lambda: all("s-1" not in proxy.servers() for proxy in proxies))
+        await instances.start(holder)
+        await instances.until(lambda view: view["duties"]["publisher"]["holder"] is not None)
+
+        holder = await instances.holder()
+        instances.signal(holder, signal.SIGSTOP)
+        rest = tuple(i for i in range(3) if i != holder)
+        await instances.until(lambda view: view["duties"]["publisher"]["holder"] not in (None, f"c{holder}"), rest)
+        feed.push([row("s-4", 9004, 4)])
+        await until(lambda: all("s-4" in proxy.servers() for proxy in proxies))
+        instances.signal(holder, signal.SIGCONT)
+        await instances.until(lambda view: view["duties"]["publisher"]["work"]["at"] and
+                              view["duties"]["publisher"]["holder"] not in (None, f"c{holder}"))
+
+        holder = await instances.holder()
+        to = (holder + 1) % 3
+        text = await asyncio.to_thread(ask, f"127.0.0.1:{instances.admin[holder]}", f"hand-over publisher c{to}")
+        assert text.startswith("SUCCESS")
+        await instances.until(lambda view: view["duties"]["publisher"]["holder"] == f"c{to}")
+        feed.push([row("s-2", 9002, 2, state="DRAINING")])
+        await until(lambda: all(proxy.servers() == {"s-3", "s-4"} for proxy in proxies))
+        at = [(await instances.show(i))["duties"]["publisher"]["work"]["at"] for i in range(3)]
+        assert at[0] and all(proxy.streams > 5 for proxy in proxies)
+        for proxy in proxies:
+            assert not proxy.went_back()
+        assert len({read_version(version)[0] for proxy in proxies for _, _, version in proxy.taken}) >= 3
+        assert check_duties(instances.audits()) == []
+    except BaseException:
+        for name in instances.names:
+            print((folder / name / "log.txt").read_text()[-1500:])
+        raise
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await instances.close()
+        await feed.stop()
+
+
+async def until(so: Any) -> None:
+    for _ in range(600):
+        if so():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("not in 30 s")
+
+
+CASES: dict[str, Any] = {"a silent server": silent_server, "a cold server": cold_server}
+
+
+@pytest.fixture(scope="module")
+def outcomes(tmp_path_factory: pytest.TempPathFactory) -> dict[str, BaseException | None]:
+    """All at once: each waits for its own processes only."""
+    async def one(what: Any) -> BaseException | None:
+        try:
+            await what
+        except BaseException as error:
+            return error
+        return None
+
+    async def run() -> list[BaseException | None]:
+        return await asyncio.gather(*(one(play(case)) for case, play in CASES.items()),
+                                    one(publish(tmp_path_factory.mktemp("control"))))
+
+    return dict(zip([*CASES, "one line of versions"], asyncio.run(run()), strict=True))
+
+
+@pytest.mark.parametrize("case", [*CASES, "one line of versions"])
+def test_processes(case: str, outcomes: dict[str, BaseException | None]) -> None:
+    if (error := outcomes[case]) is not None:
+        raise error
+
+
+# The check itself
+
+def part(do: str, at: float, rate: float, who: str, term: int = 1) -> dict[str, Any]:
+    data = warden.encode(warden.Asks(1e6, (warden.Ask("s", 5.0, rate),))) if do == "want" else \
+        warden.encode((warden.Given("s", 5.0, rate, warden.PART_MS),))
+    return {"me": who if do == "want" else "w", "boot": 1, "duty": warden.DUTY, "do": do, "term": term, "real_ms": at,
+            "to": who, "state": data.hex()}
+
+
+def test_the_check_of_parts_finds_what_is_over_the_budget_across_terms() -> None:
+    wants = [part("want", 0.0, 3.0, "a"), part("want", 1.0, 2.0, "b")]
+    fine = [part("gave", 10.0, 3.0, "a"), part("gave", 20.0, 2.0, "b", 2), part("gave", 1000.0, 2.0, "a", 2)]
+    assert check_parts([wants, fine]) == []
+    assert check_parts([wants, [*fine, part("gave", 1500.0, 3.1, "b", 3)]])
+    assert check_parts([wants, [part("gave", 10.0, 3.0, "a"), part("gave", 9000.0, 0.5, "a", 2)]])  # long forgotten
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,6 +13,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -286,6 +287,9 @@
     def adopt(self, attempt: Attempt) -> bool:
         return True
 
+    def test(self, server: str, done: Callable[[bool], None]) -> None:
+        done(False)
+
 
 def exchange(ends: Ends) -> tuple[Exchange, SetClock]:
     clock = SetClock()
