Duties: shorter gaps after a crash, clocks that go back, lab duties

Need: in virtual time a crash cost up to 6.8 s at a lease of 3 s, a member whose clock went back never asked again, and a late answer could bring a term back that had been given up for lost.

Change: electors keep those apart who ask while they are bound, tell when a majority may be free, and are bound for 7/8 of the lease, so that the election fits into it; a clock that goes back ends lease and question and nothing else; a lease that ran out is over for good. 'sageweir lab duties' plays states, seeds, processes, gaps and worth.

--- a/sageweir/cluster/duties/elector.py
+++ b/sageweir/cluster/duties/elector.py
@@ -14,10 +14,17 @@
 
 from sageweir.cluster.duties.messages import JUMP, Ask, Free, Memory, Recall, Say
 
+QUEUE, TURN = 16, 0.02  # seekers that are kept apart, and by what part of a lease
+SOON = 1 / 16  # of a lease: when to ask again where a promise may yet be given back
+BOUND = 7 / 8  # of a lease: what an elector is bound for; the rest is for the election after a crash
+
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    """lease_ms: of all duties; drift: bound on how much faster or slower a clock runs, as a part of its speed."""
+    """lease_ms: of all duties: how long one is held by nobody after a crash, at most, with the election after it.
+
+    drift: bound on how much faster or slower a clock runs, as a part of its speed.
+    """
 
     lease_ms: float = 3000.0
     drift: float = 0.05
@@ -27,12 +34,12 @@
         """How long a holder may act, by its own clock, from before it asked; the slowest clock then shows no more time
         than the fastest elector's is bound.
         """
-        return self.lease_ms * (1 - self.drift) / (1 + self.drift)
+        return self.bound * (1 - self.drift) / (1 + self.drift)
 
     @property
     def bound(self) -> float:
         """How long an elector is bound, by its own clock, from after it granted."""
-        return self.lease_ms
+        return self.lease_ms * BOUND
 
 
 @dataclass(slots=True)
@@ -44,6 +51,8 @@
     boot: int = 0
     until: float = 0.0  # bound so long
     next: str = ""  # kept for whom, after it was handed on
+    renewed: bool = False  # else it may be of one that has no majority, and will give it back
+    queue: dict[str, float] = field(default_factory=dict)  # who asked in vain meanwhile, in order, and when last
 
 
 @dataclass(slots=True)
@@ -147,14 +156,29 @@
         granted = (self.intact and ask.version >= self.version and fits and (not bound or mine or kept_for)
                    and not (mine and promise.next and bound))
         if granted and not ask.dry:
+            promise.renewed = mine and ask.term == promise.term
             promise.term, promise.seeker, promise.boot, promise.next = ask.term, ask.seeker, ask.boot, ""
             promise.until = now + self.timing.bound
-        wait = max(0.0, promise.until - now) if bound and not mine else 0.0
+            promise.queue.clear()
+        wait = self._queued(now, promise, ask.seeker) if bound and not mine else 0.0
         if not self.intact:
             wait = max(wait, self.out_until - now, 0.0)
         return Say(ask.duty, ask.term, self.name, ask.number, granted, promise.term, wait,
                    promise.next or promise.seeker if bound else "", self.version)
 
+    def _queued(self, now: float, promise: Promise, seeker: str) -> float:
+        """How long one should wait: to the end of the promise, and a little for each that asked before it."""
+        lease, queue = self.timing.lease_ms, promise.queue
+        for name in [name for name, at in queue.items() if now - at > 1.5 * lease]:
+            del queue[name]
+        if len(queue) < QUEUE:
+            queue.setdefault(seeker, now)
+        if seeker in queue:
+            queue[seeker] = now
+        turn = next((i for i, name in enumerate(queue) if name == seeker), QUEUE)
+        left = max(0.0, promise.until - now)
+        return (left if promise.renewed else min(left, SOON * lease)) + turn * TURN * lease
+
     def free(self, now: float, free: Free) -> None:
         """A term comes back; where it is handed on the duty is kept a moment for whom it goes to."""
         now = self._at(now)
--- a/sageweir/cluster/duties/seeker.py
+++ b/sageweir/cluster/duties/seeker.py
@@ -37,7 +37,7 @@
     asked_at: float
     yes: set[str] = field(default_factory=set)
     no: set[str] = field(default_factory=set)
-    wait_ms: float = 0.0
+    waits: list[float] = field(default_factory=list)  # that those told who said no
 
 
 class Seeker:
@@ -66,12 +66,18 @@
 
     def holds(self, now: float) -> int | None:
         """The term under which it may act at this moment; None: it may not."""
+        self._look(now)
         acting = self.stage in (Stage.HOLDING, Stage.HANDING)
-        if now < self._last:
-            self.until = NEVER  # a clock that goes back tells nothing any more: the lease counts as over
-        self._last = max(now, self._last)
         return self.term if acting and now < self.until else None
 
+    def _look(self, now: float) -> None:
+        """To be called first in all that is told the time."""
+        if now < self._last:
+            # A clock that goes back tells nothing any more: the lease counts as over, and so does what was asked.
+            self.until, self.round = NEVER, None
+            self._at = min(self._at, now + self.timing.lease_ms / 4)
+        self._last = now
+
     def due(self) -> float:
         """When wake() is wanted."""
         return self._at
@@ -81,6 +87,7 @@
 
     def wake(self, now: float) -> list[Out]:
         """Time has passed."""
+        self._look(now)
         if now < self._at:
             return []
         if self.stage in (Stage.HOLDING, Stage.HANDING):
@@ -95,6 +102,7 @@
 
     def said(self, now: float, say: Say) -> list[Out]:
         """An elector's answer."""
+        self._look(now)
         if say.duty != self.duty or say.elector not in self.electors:
             return []
         self.seen = max(self.seen, say.seen)
@@ -102,8 +110,13 @@
             self.holder = say.holder
         if self.round is None or say.number != self.round.number or say.term != self.term:
             return []
+        if self.stage in (Stage.HOLDING, Stage.HANDING) and now >= self.until:
+            return self._lost(now, "its lease ran out")  # for good: a late answer brings no term back
+        if say.elector in self.round.yes or say.elector in self.round.no:
+            return []
         (self.round.yes if say.granted else self.round.no).add(say.elector)
-        self.round.wait_ms = max(self.round.wait_ms, say.wait_ms)
+        if not say.granted:
+            self.round.waits.append(say.wait_ms)
         if len(self.round.yes) >= self.majority:
             return self._won(now, self.round)
         if len(self.round.no) > len(self.electors) - self.majority and self.stage is not Stage.HOLDING:
@@ -112,6 +125,7 @@
 
     def install(self, now: float, electors: tuple[str, ...], version: int) -> list[Out]:
         """Another list of electors is in force. A lease that is held goes on; what was asked is asked anew."""
+        self._look(now)
         if version <= self.version:
             return []
         out = self._gave_up(now) if self.stage in (Stage.SOUNDING, Stage.ASKING) else []
@@ -122,6 +136,7 @@
 
     def noticed(self, now: float, term: int, holder: str) -> None:
         """The holder has told that it holds the duty: no need to ask electors for a while."""
+        self._look(now)
         if self.stage is Stage.IDLE:
             self.holder, self.seen = holder, max(self.seen, term)
             self._at = max(self._at, now + self.draw.uniform(*PATIENCE) * self.timing.lease_ms)
@@ -140,7 +155,8 @@
         if not dry:
             # Guards against asking for a term again that was given up: what frees it may arrive later.
             self.seen = max(self.seen, self.term)
-        return self._ask(now, dry, self.timing.lease_ms / 4)
+        # Answers may be late, or never come; the more tries were in vain the longer they are waited for.
+        return self._ask(now, dry, self.timing.lease_ms / 4 * 2.0 ** min(0, self.failures - 2))
 
     def _ask(self, now: float, dry: bool, patience: float) -> list[Out]:
         self._number += 1
@@ -167,19 +183,24 @@
 
     def _gave_up(self, now: float) -> list[Out]:
         """No majority: what was granted is given back, and the next try is later, by chance."""
-        asked, waits = self.stage is Stage.ASKING, self.round.wait_ms if self.round else 0.0
+        asked, waits = self.stage is Stage.ASKING, self._free_in(self.round)
         self.stage, self.round = Stage.IDLE, None
-        self.failures = min(5, self.failures + 1)
+        self.failures = min(5, self.failures + 1) if asked or not waits else 0
         if self.eager:
             # The holder's word to the electors may come after this one's question.
             self.eager -= 1
             self._at = now + self.timing.lease_ms / 60
             return self._free("") if asked else []
         # Where another holds it, soon after that one's lease would end; else later the more tries were in vain.
-        spread = FIRST if waits and not asked else 2 ** min(3, self.failures) / 8
-        self._at = now + waits + self.draw.uniform(0.1, 1.0) * spread * self.timing.lease_ms
+        spread = FIRST * 2 ** self.failures * self.timing.lease_ms
+        self._at = now + (0.0 if asked else waits) + self.draw.uniform(0.1, 1.0) * spread
         return self._free("") if asked else []
 
+    def _free_in(self, asked: Round | None) -> float:
+        """When a majority may be bound to nobody, by what was told; ms."""
+        waits = sorted([0.0] * len(asked.yes) + asked.waits) if asked is not None else []
+        return waits[min(self.majority, len(waits)) - 1] if waits else 0.0
+
     def _later(self, now: float, after: float) -> list[Out]:
         self._at = now + after
         return []
@@ -223,6 +244,7 @@
 
     def handed(self, now: float, hand: Hand) -> list[Out]:
         """A word of another holder, or of the next one."""
+        self._look(now)
         if hand.duty != self.duty:
             return []
         if hand.back:
--- a/sageweir/cluster/duties/service.py
+++ b/sageweir/cluster/duties/service.py
@@ -190,7 +190,7 @@
         for duty, held in self.held.items():
             self._post(held.seeker.wake(now))
             self._seen(duty, held)
-            if now >= held.beat_at:
+            if now >= held.beat_at or held.beat_at - now > self.timing.lease_ms:  # or the clock went back
                 held.beat_at = now + self.timing.lease_ms / BEATS
                 self._beat(duty, held, now)
         if self.change is not None and now >= self._change_at:
--- a/sageweir/lab/commands.py
+++ b/sageweir/lab/commands.py
@@ -85,6 +85,26 @@
         _finish(run(members, seeds, hours, sizes, workers, whole), json_path, plot, "Crash to known",
                 AIM_PERIODS, "periods from the crash", "periods")
 
+    @group.command()
+    @click.option("--seeds", default=300, show_default=True, help="Random fault scripts in virtual time.")
+    @click.option("--first", default=1, show_default=True, help="The first seed.")
+    @click.option("--faults", default=12, show_default=True, help="Between real processes, at least.")
+    @click.option("--gaps", default=300, show_default=True, help="Crashes, and as many handings on, in virtual time.")
+    @click.option("--whole", is_flag=True, help="All states of larger scopes too; some minutes more.")
+    @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True,
+                  help="Processes that simulate.")
+    @click.option("--rigs", default=2, show_default=True, help="Fleets of real processes at once.")
+    @_json
+    @_plot
+    def duties(seeds: int, first: int, faults: int, gaps: int, whole: bool, workers: int, rigs: int,
+               json_path: Path | None, plot: Path | None) -> None:
+        """Duties that only one holds: all states, random faults, time without a holder, what it is worth."""
+        from sageweir.cluster.duties.elector import Timing
+        from sageweir.lab.duties import duties as run
+
+        _finish(run(seeds, faults, gaps, whole, workers, rigs, first), json_path, plot, "Without a holder",
+                Timing().lease_ms)
+
     @group.command()
     @click.option("--upgrades", default=10, show_default=True)
     @click.option("--callers", default=20, show_default=True)
