--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -211,7 +211,8 @@
             case api.ColdPart(server, rate, lasts) if server in self.servers:
                 self.servers[server].part = rate, now_ms + lasts
             case api.Probed(server, silent, since) if server in self.servers:
-                view, wait = self.servers[server], PROBED_MS if silent else self.skip_ms * self.random.random()
+                view = self.servers[server]
+                wait = PROBED_MS if silent else self.skip_ms * self.random.random()
                 if view.passed < since:  # hearsay bars nothing that has answered here meanwhile
                     view.closed_until = now_ms + wait
             case api.TimerFired(timer) if timer == CONTROL_TIMER:
--- a/tests/test_cluster_works.py
+++ b/tests/test_cluster_works.py
@@ -16,13 +16,17 @@
 import orjson
 import pytest
 
+from dahliabridge import interface as api
 from sageweir.ask import ask
+from sageweir.clock import SetClock, SystemClock
 from sageweir.cluster.duties import prober, warden
 from sageweir.cluster.duties.store import Kept, Store
+from sageweir.config import Address, Listed
 from sageweir.control.encoding import encode
 from sageweir.control.line import Line, read_version, without
 from sageweir.control.resources import cluster_name
 from sageweir.control.snapshot import ENDPOINT, Body, SnapshotStore
+from sageweir.exchange import Exchange
 from sageweir.lab.client import XdsClient
 from sageweir.lab.faults.rig import ROOT, FleetRig
 from sageweir.lab.faults.script import Fault
@@ -31,6 +35,11 @@
 from sageweir.lab.proxies import METHOD
 from sageweir.lab.rig import Worker, free_ports
 from sageweir.lab.upgrade import Caller, Seen
+from sageweir.limits import Limits
+from sageweir.net.admin import AdminSide
+from sageweir.net.jsonlines import JsonLines
+from sageweir.net.servers import ServerSide
+from tests.driving import SETTINGS
 from tests.test_control_decisions import FILE, STATUS
 
 NAMES, PERIODS = [f"m{i}" for i in range(4)], 80.0
@@ -464,7 +473,8 @@
         feed.push([row("s-2", 9002, 2, state="DRAINING")])
         await until(lambda: all(proxy.servers() == {"s-3", "s-4"} for proxy in proxies))
         at = [(await instances.show(i))["duties"]["publisher"]["work"]["at"] for i in range(3)]
-        assert at[0] and all(proxy.streams > 5 for proxy in proxies)
+        assert at[0]
+        await until(lambda: all(proxy.streams > 5 for proxy in proxies))
         for proxy in proxies:
             assert not proxy.went_back()
         assert len({read_version(version)[0] for proxy in proxies for _, _, version in proxy.taken}) >= 3
@@ -530,3 +540,53 @@
     assert check_parts([wants, fine]) == []
     assert check_parts([wants, [*fine, part("gave", 1500.0, 3.1, "b", 3)]])
     assert check_parts([wants, [part("gave", 10.0, 3.0, "a"), part("gave", 9000.0, 0.5, "a", 2)]])  # long forgotten
+
+
+# Tests of clearing servers, and operators' calls with words
+
+def test_a_clearing_server_passes_a_test_fails_it_or_says_nothing() -> None:
+    async def run() -> list[list[bool]]:
+        loop, says = asyncio.get_running_loop(), [b"1"]
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            async for text in reader:
+                message = orjson.loads(text)
+                assert message["msg"] == "probe" and message["code"] == 0
+                if says[0]:
+                    writer.write(b'{"msg":"probed","sid":"%b","attrs":{},"code":%b}\n' % (
+                        message["sid"].encode(), says[0]))
+
+        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
+        clock, limits = SystemClock(loop), Limits(test_ms=150.0, tests=3)
+        exchange = Exchange(clock, limits, SETTINGS, 1)
+        servers = ServerSide(clock, limits, exchange, lambda address: JsonLines(limits.message_bytes))
+        port = listening.sockets[0].getsockname()[1]
+        servers.follow([Listed(api.Server("a", 0, api.ServerState.IN_SERVICE), Address("127.0.0.1", port))], True)
+        while not servers.connected():
+            await asyncio.sleep(0.01)
+        found: list[list[bool]] = []
+        for answer, times in ((b"1", 1), (b"0", 1), (b"", 5)):
+            says[0] = answer
+            got: list[bool] = []
+            for _ in range(times):
+                exchange.test("a", got.append)
+            while len(got) < times:
+                await asyncio.sleep(0.01)
+            found.append(got)
+        got = []
+        exchange.test("unknown", got.append)
+        found.append(got)
+        servers.close()
+        listening.close()
+        await asyncio.sleep(0.05)
+        return found
+
+    assert asyncio.run(asyncio.wait_for(run(), 20)) == [[True], [False], [False] * 5, [False]]
+
+
+def test_operators_calls_with_words_are_granted_or_refused_with_a_reason() -> None:
+    calls = {"hand": lambda words: "" if words == ["a", "b"] else f"no {words}"}
+    side = AdminSide(SetClock(), Limits(), {"ready": lambda: "SUCCESS"}, calls)
+    assert side.answer(b"hand a b\n") == "SUCCESS" and side.answer(b"hand") == "FAILURE no []"
+    assert side.answer(b"ready") == "SUCCESS" and "known are ready, hand" in side.answer(b"other a")
+    assert side.answer(b" ") == "FAILURE an empty call"
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -699,3 +699,44 @@
     gateway.wait(3000.0)
     assert gateway.finals("x") == [api.Refuse("x", 1000.0)]
     assert gateway.finals("again") == [api.Refuse("again", 2000.0)]
+
+
+def test_a_part_of_a_cold_ramp_that_is_given_out_holds_until_it_ends() -> None:
+    cold = server("a", 0, 10_000.0)
+
+    def sent(*parts: api.ColdPart) -> int:
+        gateway = Gateway([cold], max_attempts=6)
+        gateway.now = 10_000.0
+        gateway.steady(3.0, "a", rate=20.0)  # its flow is known
+        for part in parts:
+            gateway.tell(part)
+        before, at = len(gateway.sends()), gateway.now
+        gateway.steady(2.0, "a", rate=20.0)
+        assert gateway.now - at >= 2000.0
+        return len(gateway.sends()) - before
+
+    own = sent()
+    assert sent(api.ColdPart("a", 0.0, 4000.0)) == 0 < own  # all of it is with others
+    assert 0 < sent(api.ColdPart("a", 0.0, 1000.0)) < own  # its part has ended
+    assert sent(api.ColdPart("other", 0.0, 4000.0)) == own
+
+
+def test_what_one_has_tested_for_all_bars_a_server_unless_it_has_answered_here_since() -> None:
+    gateway = Gateway([A, B])
+    gateway.wait(1000.0)
+    gateway.tell(api.Probed("a", True, gateway.now - 100.0))
+    gateway.call("x", first=0)
+    assert [send.server for _, send in gateway.sends()] == ["b"]
+    gateway.wait(brain.PROBED_MS)  # the word is over
+    gateway.call("y", first=0)
+    assert gateway.sends()[-1][1].server == "a"
+    gateway.answer("y", "a")
+    gateway.tell(api.Probed("a", True, gateway.now - 100.0))  # a test from before that answer
+    gateway.call("z", first=0)
+    assert gateway.sends()[-1][1].server == "a"
+    gateway.tell(api.Probed("a", True, gateway.now + 1.0))
+    gateway.tell(api.Probed("a", False, gateway.now + 1.0))
+    gateway.wait(view(gateway).closed_until - gateway.now + 1.0)
+    gateway.call("w", first=0)
+    assert gateway.sends()[-1][1].server == "a" and gateway.now < 2510.0 + gateway.brain.skip_ms
+    gateway.tell(api.Probed("unknown", True, 0.0))
