--- a/sageweir/cluster/duties/messages.py
+++ b/sageweir/cluster/duties/messages.py
@@ -89,7 +89,9 @@
 
 
 class Notice(msgspec.Struct, frozen=True, gc=False, tag="notice"):
-    """A holder's word to all, an act under its term; count: its acts so far. What it says is the duty's own affair."""
+    """A holder's word to all, an act under its term; count: its acts so far; why: how it came to hold the duty. What
+    it says by `state` is the duty's own affair.
+    """
 
     duty: Word
     term: Term
@@ -97,6 +99,7 @@
     boot: Number
     count: Number
     state: State = b""
+    why: Annotated[str, Meta(max_length=200)] = ""
 
 
 class Want(msgspec.Struct, frozen=True, gc=False, tag="want"):
--- a/sageweir/cluster/duties/seeker.py
+++ b/sageweir/cluster/duties/seeker.py
@@ -172,7 +172,8 @@
         if self.stage is Stage.SOUNDING:
             return self._question(now, dry=False)
         if self.stage is Stage.ASKING:
-            self.why, self.freed = f"granted by {', '.join(sorted(won.yes))}", (0, "", 0)
+            handed = f"handed on by {self.freed[1]}, " if self.freed[1] and self.eager else ""
+            self.why, self.freed = f"{handed}granted by {', '.join(sorted(won.yes))}", (0, "", 0)
         self.round, self.failures = None, 0
         self.until = max(self.until, won.asked_at + self.timing.held)
         if now >= self.until:
--- a/sageweir/cluster/duties/service.py
+++ b/sageweir/cluster/duties/service.py
@@ -136,6 +136,7 @@
             self._become(now, kept)
         self.fence = Fence()
         self.holders: dict[str, tuple[str, int, float]] = {}  # by duty: who said last that it holds it: term, when
+        self.whys: dict[str, str] = {}  # and how it came to
         self.held = {duty: Held(Seeker(duty, me.name, me.boot, tuple(self.places), self.timing,
                                        Random(self.draw.getrandbits(60)), self.version), work)
                      for duty, work in works.items()}
@@ -237,7 +238,7 @@
             for name in self._living():
                 # With nothing to say every other beat is enough: it tells who holds the duty.
                 if name != self.me.name and not held.quiet and (act := self._act(duty, held)) is not None:
-                    self._post([(name, Notice(duty, *act, (state or b"")[:STATE_BYTES]))])
+                    self._post([(name, Notice(duty, *act, (state or b"")[:STATE_BYTES], held.seeker.why[:200]))])
         if (state := held.work.want(now)) is not None:
             number = self.draw.getrandbits(60)
             held.asked = {n: at for n, at in held.asked.items() if now - at < self.timing.lease_ms}
@@ -341,6 +342,7 @@
                 self._seen(body.duty, held)
             case Notice() if (held := self.held.get(body.duty)) is not None:
                 if self._admits(body.duty, body.term, body.seeker, body.boot, body.count):
+                    self.whys[body.duty] = body.why
                     held.seeker.noticed(now, body.term, body.seeker)
                     held.work.noticed(now, body.term, body.seeker, body.state)
                 else:
@@ -579,7 +581,8 @@
             duties[duty] = {
                 "holder": self.holder(duty), "term": mine if mine is not None else term or None,
                 "said_ms_ago": None if mine is not None or not term else round(now - at),
-                "here": held.seeker.stage.value, "why": held.seeker.why, "acts": held.count,
+                "here": held.seeker.stage.value, "why_here": held.seeker.why,
+                "why": held.seeker.why if mine is not None else self.whys.get(duty, ""), "acts": held.count,
                 "fence": self.fence.highest.get(duty, 0), "seen": held.seeker.seen,
                 "work": held.work.show(now)}
         found: dict[str, Any] = {
--- a/sageweir/cluster/show.py
+++ b/sageweir/cluster/show.py
@@ -20,11 +20,11 @@
     lines = []
     for duty, one in view.get("duties", {}).items():
         if one["holder"] is None:
-            lines.append(f"{duty}: NOBODY is known to hold it; here {one['here']} ({one['why']})")
+            lines.append(f"{duty}: NOBODY is known to hold it; here {one['here']} ({one['why_here']})")
             continue
         when = "by itself" if one["said_ms_ago"] is None else _since(one["said_ms_ago"])
-        lines.append(f"{duty}: held by {one['holder']} under term {one['term']}, told {when}; "
-                     f"here {one['here']} ({one['why']})")
+        lines.append(f"{duty}: held by {one['holder']} under term {one['term']} ({one['why']}), told {when}; "
+                     f"here {one['here']} ({one['why_here']})")
     if lines:
         lines.append(f"electors, version {view['electors_version']}: {', '.join(view['electors'])}"
                      + (f"; {view['electors_told']}" if view["electors_told"] else ""))
