--- a/sageweir/cluster/duties/elector.py
+++ b/sageweir/cluster/duties/elector.py
@@ -14,6 +14,7 @@
 
 from sageweir.cluster.duties.messages import JUMP, Ask, Free, Memory, Recall, Say
 
+ANY = ""  # stands for all duties that are not known
 QUEUE, TURN = 16, 0.02  # seekers that are kept apart, and by what part of a lease
 SOON = 1 / 16  # of a lease: when to ask again where a promise may yet be given back
 BOUND = 7 / 8  # of a lease: what an elector is bound for; the rest is for the election after a crash
@@ -68,8 +69,12 @@
     """Messages in, answers out. Each answer to an Ask that granted must wait until `kept` is written."""
 
     def __init__(self, name: str, electors: tuple[str, ...], timing: Timing, now: float, boot: int,
-                 disk: Mapping[str, int] | None = None, version: int = 1) -> None:
-        """boot: drawn anew at each start; disk: terms found there, which may be old, None where nothing can be read."""
+                 disk: Mapping[str, int] | None = None, version: int = 1, origin: int = 0) -> None:
+        """boot: drawn anew at each start; disk: terms found there, which may be old, None where nothing can be read.
+
+        origin: seconds of Unix time at the start, or 0. It only ever raises terms, where nobody remembers them.
+        """
+        self.origin = origin
         self.boot, self.time, self._clock = boot, 0.0, now
         self.name, self.electors, self.timing, self.version = name, electors, timing, version
         self.promises: dict[str, Promise] = {duty: Promise(term) for duty, term in (disk or {}).items()}
@@ -131,25 +136,34 @@
             return True
         patient = self.time < self.out_until + self.timing.lease_ms / 4  # the others may answer yet
         if len(self.heard) + 1 >= self.majority and not patient:
-            # Guards against disks that went back in time while no memory outlived them: far above all that is left.
-            self._raise(list(self.heard.values()), JUMP)
+            # Guards against disks that went back in time while no memory outlived them: far above all that is left, and
+            # above all terms of earlier days, as far as the machine knows what day it is.
+            self._raise(list(self.heard.values()), JUMP, self.origin * JUMP)
             return True
         return False
 
-    def _raise(self, memories: list[Memory], by: int) -> None:
+    def _raise(self, memories: list[Memory], by: int, least: int = 0) -> None:
         for memory in memories:
             for duty, term in memory.terms.items():
                 promise = self.promises.setdefault(duty, Promise())
                 promise.term = max(promise.term, term)
-        for promise in self.promises.values():
-            promise.term += by
+        if by:
+            self.promises.setdefault(ANY, Promise())
+            for promise in self.promises.values():
+                promise.term = max(promise.term + by, least)
+
+    def _of(self, duty: str) -> Promise:
+        """A duty that nobody here remembers begins where all others were raised to."""
+        if duty not in self.promises:
+            self.promises[duty] = Promise(self.promises[ANY].term if ANY in self.promises else 0)
+        return self.promises[duty]
 
     # In service
 
     def ask(self, now: float, ask: Ask) -> Say:
         """Grant, or say why not. Where it grants, its terms are to be written first."""
         now = self._at(now)
-        promise = self.promises.setdefault(ask.duty, Promise())
+        promise = self._of(ask.duty)
         if ask.freed_by and (promise.term, promise.seeker, promise.boot) == (ask.freed, ask.freed_by, ask.freed_boot):
             promise.until, promise.next = min(promise.until, now), ""  # its own word may come later, or never
         mine = promise.seeker == ask.seeker and promise.boot == ask.boot
--- a/sageweir/cluster/duties/service.py
+++ b/sageweir/cluster/duties/service.py
@@ -162,7 +162,7 @@
 
     def _become(self, now: float, kept: Kept | None) -> None:
         self.elector = Elector(self.me.name, tuple(self.places), self.timing, now, self.me.boot,
-                               kept.terms if kept is not None else None, self.version)
+                               kept.terms if kept is not None else None, self.version, int(time.time()))
         if kept is not None and kept.accepted is not None:
             self.elector.accepted = (kept.accepted[0], frozenset(kept.accepted[1]))
             self._next = dict(kept.accepted[1])
--- a/sageweir/lab/dutysim.py
+++ b/sageweir/lab/dutysim.py
@@ -70,7 +70,8 @@
         boot, now = self.draw.getrandbits(40), offset + speed * self.now
         elector = None
         if name in self.electors:
-            elector = self.make_elector(name, self.electors, self.timing, now, boot, disk)
+            origin = 10**9 + int(self.now / 1000)
+            elector = self.make_elector(name, self.electors, self.timing, now, boot, disk, 1, origin)
         seeker = self.make_seeker(DUTY, name, boot, self.electors, self.timing, Random(self.draw.getrandbits(40)))
         process = Process(name, seeker, elector, offset, speed, dict(disk or {}))
         seeker.start(now)
--- a/tests/test_cluster_duties.py
+++ b/tests/test_cluster_duties.py
@@ -92,7 +92,18 @@
     assert one.remember(TIMING.bound + 20, Memory("e1", 5, False, {"d": 5})) is None  # others may answer yet
     run_to(one, TIMING.bound + TIMING.lease_ms / 4 + 10)
     kept = Kept({duty: promise.term for duty, promise in one.promises.items()})
-    assert one.intact and kept == Kept({"d": 5 + JUMP})
+    assert one.intact and kept == Kept({"": JUMP, "d": 5 + JUMP})
+    assert one.ask(TIMING.lease_ms * 2, Ask("never heard of", JUMP + 1, "a", 1, 9, 1)).seen == JUMP + 1
+    one = Elector("e0", NAMES, TIMING, 0.0, 5, {"d": 3}, 1, 10**9)
+    run_to(one, TIMING.bound + 10)
+    one.remember(TIMING.bound + 20, Memory("e1", 5, False, {}))
+    run_to(one, TIMING.bound + TIMING.lease_ms / 4 + 10)
+    assert one.promises["d"].term == 10**9 * JUMP  # above all terms of earlier days
+
+
+def test_terms_do_not_come_again_where_disks_are_from_before_a_jump_and_nobody_remembers() -> None:
+    found = play_duties(30214, 3, 4 + 1)
+    assert not found["found"] and found["back_ms"] is not None
 
 
 def test_electors_change_one_at_a_time_and_refuse_who_knows_the_old_list() -> None:
@@ -231,7 +242,7 @@
 class NoJump(Elector):
     """Where nobody remembers it takes what the disks say."""
 
-    def _raise(self, memories: list[Memory], by: int) -> None:
+    def _raise(self, memories: list[Memory], by: int, least: int = 0) -> None:
         super()._raise(memories, 0)
 
 
--- a/tests/test_cluster_duties_fleet.py
+++ b/tests/test_cluster_duties_fleet.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import Any
 
 import orjson
@@ -18,10 +17,8 @@
 from sageweir.lab.faults.cases import DUTY_CASES
 from sageweir.lab.faults.rig import FleetRig
 from sageweir.lab.faults.script import Fault, partition
-from sageweir.lab.feed import FeedStandIn, row
 from sageweir.lab.invariants import check_duties
-from sageweir.lab.rig import Worker, free_ports
-from sageweir.lab.upgrade import Caller, Seen
+from tests.processes import Load, Outcomes, outcomes_of
 
 AT_ONCE, ELECTORS = 4, 3
 NAMES = [f"m{i}" for i in range(5)]
@@ -169,31 +166,14 @@
 
 async def under_load(case: str) -> None:
     """All electors are restarted, one after the other, while callers make calls at others."""
-    feed, ports = FeedStandIn(), free_ports(2)
-    await feed.start()
-    machines = await Worker.start("sageweir.lab.servers", {
-        "model": {"work_ms": 2.0, "cold_ms": 0.0, "cold_from": 1.0}, "fall_multiple": 3.0, "fall_ms": 1000.0,
-        "ports": ports, "hold_ms": 500.0})
-    for i, port in enumerate(ports):
-        await machines.ask(do="start", port=port, name=f"s-{i}", started_ms=0.0)
-    feed.push([row(f"s-{i}", port, i) for i, port in enumerate(ports)], complete=True)
-    seen = Seen()
-    try:
-        async with fleet(case, feed=feed.port) as rig:
-            await held(rig)
-            rig.script = DUTY_CASES["a rolling restart of all electors"](NAMES, ELECTORS, "")
-            until = time.time() + 10.0
-            calls = [asyncio.create_task(Caller(rig.clients[name], seen, i).run(8.0, until))
-                     for i, name in enumerate(NAMES[-2:])]
-            await rig.play()
-            await rig.until_held(PERIODS)
-            await asyncio.gather(*calls)
-            rig.check()
-    finally:
-        await machines.stop()
-        await feed.stop()
-    finals = [[word for word in words if word != "over"] for words in seen.words.values()]
-    assert len(finals) > 20 and all(words == ["served"] for words in finals)
+    async with Load() as load, fleet(case, feed=load.feed.port) as rig:
+        await held(rig)
+        rig.script = DUTY_CASES["a rolling restart of all electors"](NAMES, ELECTORS, "")
+        load.call(rig, NAMES[-2:], 8.0, 10.0)
+        await rig.play()
+        await rig.until_held(PERIODS)
+        await load.done()
+        rig.check()
 
 
 async def all_forgotten(case: str) -> None:
@@ -223,28 +203,12 @@
 
 
 @pytest.fixture(scope="module")
-def outcomes() -> dict[str, BaseException | None]:
-    """All cases, some at once: each waits for its own processes only."""
-    found: dict[str, BaseException | None] = {}
-
-    async def one(case: str, turns: asyncio.Semaphore) -> None:
-        async with turns:
-            try:
-                await MORE.get(case, play)(case)
-                found[case] = None
-            except BaseException as error:
-                found[case] = error
-
-    async def run() -> None:
-        turns = asyncio.Semaphore(AT_ONCE)
-        await asyncio.gather(*(one(case, turns) for case in ALL))
-
-    asyncio.run(run())
-    return found
+def outcomes() -> Outcomes:
+    return outcomes_of(ALL, lambda case: MORE.get(case, play)(case), AT_ONCE)
 
 
 @pytest.mark.parametrize("case", ALL)
-def test_processes(case: str, outcomes: dict[str, BaseException | None]) -> None:
+def test_processes(case: str, outcomes: Outcomes) -> None:
     if (error := outcomes[case]) is not None:
         raise error
 
--- a/tests/test_cluster_fleet.py
+++ b/tests/test_cluster_fleet.py
@@ -9,7 +9,6 @@
 import os
 import subprocess
 import sys
-import time
 from typing import Any
 
 import orjson
@@ -20,9 +19,8 @@
 from sageweir.lab.faults.cases import CASES, LIES
 from sageweir.lab.faults.rig import FleetRig, Missed
 from sageweir.lab.faults.script import Fault, partition
-from sageweir.lab.feed import FeedStandIn, row
-from sageweir.lab.rig import Worker, free_ports
-from sageweir.lab.upgrade import Caller, Seen
+from sageweir.lab.rig import free_ports
+from tests.processes import Load, Outcomes, outcomes_of
 from tests.test_program import EXAMPLE, ROOT
 
 MEMBERS, AT_ONCE = 6, 4
@@ -47,30 +45,13 @@
 
 async def restart_under_load(case: str) -> None:
     """Members are stopped and started anew, one after the other, while callers make calls at all of them."""
-    feed, ports = FeedStandIn(), free_ports(2)
-    await feed.start()
-    machines = await Worker.start("sageweir.lab.servers", {
-        "model": {"work_ms": 2.0, "cold_ms": 0.0, "cold_from": 1.0}, "fall_multiple": 3.0, "fall_ms": 1000.0,
-        "ports": ports, "hold_ms": 500.0})
-    for i, port in enumerate(ports):
-        await machines.ask(do="start", port=port, name=f"s-{i}", started_ms=0.0)
-    feed.push([row(f"s-{i}", port, i) for i, port in enumerate(ports)], complete=True)
-    seen = Seen()
-    try:
-        async with FleetRig(NAMES, CASES["a rolling restart"](NAMES), feed=feed.port) as rig:
-            await rig.until_alike(PERIODS)
-            until = time.time() + 3 * 8 * rig.period_ms / 1000
-            calls = [asyncio.create_task(Caller(rig.clients[name], seen, i).run(8.0, until))
-                     for i, name in enumerate(NAMES[-2:])]
-            await rig.play()
-            await rig.until_alike(PERIODS)
-            await asyncio.gather(*calls)
-            rig.check()
-    finally:
-        await machines.stop()
-        await feed.stop()
-    finals = [[word for word in words if word != "over"] for words in seen.words.values()]
-    assert len(finals) > 20 and all(words == ["served"] for words in finals)
+    async with Load() as load, FleetRig(NAMES, CASES["a rolling restart"](NAMES), feed=load.feed.port) as rig:
+        await rig.until_alike(PERIODS)
+        load.call(rig, NAMES[-2:], 8.0, 3 * 8 * rig.period_ms / 1000)
+        await rig.play()
+        await rig.until_alike(PERIODS)
+        await load.done()
+        rig.check()
 
 
 async def burst(case: str) -> None:
@@ -151,28 +132,12 @@
 
 
 @pytest.fixture(scope="module")
-def outcomes() -> dict[str, BaseException | None]:
-    """All cases, some at once: each waits for its own processes only."""
-    found: dict[str, BaseException | None] = {}
-
-    async def one(case: str, turns: asyncio.Semaphore) -> None:
-        async with turns:
-            try:
-                await MORE.get(case, play)(case)
-                found[case] = None
-            except BaseException as error:
-                found[case] = error
-
-    async def run() -> None:
-        turns = asyncio.Semaphore(AT_ONCE)
-        await asyncio.gather(*(one(case, turns) for case in ALL))
-
-    asyncio.run(run())
-    return found
+def outcomes() -> Outcomes:
+    return outcomes_of(ALL, lambda case: MORE.get(case, play)(case), AT_ONCE)
 
 
 @pytest.mark.parametrize("case", ALL)
-def test_processes(case: str, outcomes: dict[str, BaseException | None]) -> None:
+def test_processes(case: str, outcomes: Outcomes) -> None:
     if (error := outcomes[case]) is not None:
         raise error
 
--- a/tests/test_cluster_works.py
+++ b/tests/test_cluster_works.py
@@ -33,13 +33,13 @@
 from sageweir.lab.feed import FeedStandIn, row
 from sageweir.lab.invariants import check_duties, check_parts
 from sageweir.lab.proxies import METHOD
-from sageweir.lab.rig import Worker, free_ports
-from sageweir.lab.upgrade import Caller, Seen
+from sageweir.lab.rig import free_ports
 from sageweir.limits import Limits
 from sageweir.net.admin import AdminSide
 from sageweir.net.jsonlines import JsonLines
 from sageweir.net.servers import ServerSide
 from tests.driving import SETTINGS
+from tests.processes import Load, Outcomes, outcomes_of
 from tests.test_control_decisions import FILE, STATUS
 
 NAMES, PERIODS = [f"m{i}" for i in range(4)], 80.0
@@ -218,42 +218,12 @@
 
 # Processes: controllers under load
 
-class Load:
-    """A feed, two clearing servers and callers."""
-
-    def __init__(self, cold_ms: float = 0.0) -> None:
-        self.feed, self.ports, self.seen, self.cold_ms = FeedStandIn(), free_ports(3), Seen(), cold_ms
-        self.machines: Any = None
-        self.calls: list[asyncio.Task[None]] = []
-
-    async def __aenter__(self) -> Load:
-        await self.feed.start()
-        self.machines = await Worker.start("sageweir.lab.servers", {
-            "model": {"work_ms": 2.0, "cold_ms": self.cold_ms, "cold_from": 0.29}, "fall_multiple": 3.0,
-            "fall_ms": 1000.0, "ports": self.ports, "hold_ms": 500.0})
-        for i in range(2):
-            await self.machines.ask(do="start", port=self.ports[i], name=f"s-{i}", started_ms=0.0)
-        self.feed.push([row(f"s-{i}", self.ports[i], i) for i in range(2)], complete=True)
-        return self
-
-    def call(self, rig: FleetRig, seconds: float) -> None:
-        self.calls += [asyncio.create_task(Caller(rig.clients[name], self.seen, i).run(30.0, time.time() + seconds))
-                       for i, name in enumerate(rig.names)]
-
-    async def __aexit__(self, *args: object) -> None:
-        for task in self.calls:
-            task.cancel()
-        await asyncio.gather(*self.calls, return_exceptions=True)
-        await self.machines.stop()
-        await self.feed.stop()
-
-
 async def silent_server(case: str) -> None:
     """One holder tests a silent server; the others are told, and when it is back; then the holder dies."""
     async with Load() as load, FleetRig(NAMES, electors=3, feed=load.feed.port, seed=3) as rig:
         await rig.until_alike(PERIODS)
         await rig.until_held(PERIODS)
-        load.call(rig, 60.0)
+        load.call(rig, NAMES, 30.0, 60.0)
         await asyncio.sleep(1.0)
         await load.machines.ask(do="vanish", port=load.ports[0])
 
@@ -285,7 +255,7 @@
     async with Load(14_000.0) as load, FleetRig(NAMES, electors=3, feed=load.feed.port, seed=4) as rig:
         await rig.until_alike(PERIODS)
         await rig.until_held(PERIODS)
-        load.call(rig, 60.0)
+        load.call(rig, NAMES, 30.0, 60.0)
         await asyncio.sleep(1.0)
         now = time.time() * 1000
         await load.machines.ask(do="start", port=load.ports[2], name="cold", started_ms=now)
@@ -503,24 +473,16 @@
 
 
 @pytest.fixture(scope="module")
-def outcomes(tmp_path_factory: pytest.TempPathFactory) -> dict[str, BaseException | None]:
-    """All at once: each waits for its own processes only."""
-    async def one(what: Any) -> BaseException | None:
-        try:
-            await what
-        except BaseException as error:
-            return error
-        return None
-
-    async def run() -> list[BaseException | None]:
-        return await asyncio.gather(*(one(play(case)) for case, play in CASES.items()),
-                                    one(publish(tmp_path_factory.mktemp("control"))))
+def outcomes(tmp_path_factory: pytest.TempPathFactory) -> Outcomes:
+    """All at once."""
+    async def play(case: str) -> None:
+        await (CASES[case](case) if case in CASES else publish(tmp_path_factory.mktemp("control")))
 
-    return dict(zip([*CASES, "one line of versions"], asyncio.run(run()), strict=True))
+    return outcomes_of([*CASES, "one line of versions"], play, 3)
 
 
 @pytest.mark.parametrize("case", [*CASES, "one line of versions"])
-def test_processes(case: str, outcomes: dict[str, BaseException | None]) -> None:
+def test_processes(case: str, outcomes: Outcomes) -> None:
     if (error := outcomes[case]) is not None:
         raise error
 
