Store: survey of a directory, 'sageweir store check' and 'dump'

Need: operators must see what a directory holds without opening, and so changing, it.

Used by no service yet.

--- a/sageweir/cli.py
+++ b/sageweir/cli.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 import structlog
@@ -12,6 +13,9 @@
 from sageweir.config import ConfigError
 from sageweir.quiet import RateLimit
 
+if TYPE_CHECKING:
+    from sageweir.store.survey import Row
+
 
 def set_up_logs(as_json: bool) -> None:
     """Structured lines on standard error, each kind limited in number."""
@@ -158,6 +162,46 @@
     sys.exit(0 if "is in force" in told else 1)
 
 
+@main.group()
+def store() -> None:
+    """A directory of the store's log; read, never changed."""
+
+
+def _surveyed(folder: Path) -> list[Row]:
+    from sageweir.store.survey import survey
+
+    try:
+        return survey({path.name: path.read_bytes() for path in folder.iterdir()
+                       if path.is_file() and path.name != "lock"})
+    except OSError as error:
+        click.echo(f"{folder}: {error.strerror}", err=True)
+        sys.exit(2)
+
+
+@store.command("check")
+@click.argument("folder", type=click.Path(path_type=Path))
+def store_check(folder: Path) -> None:
+    """What FOLDER holds, file by file. Exit code 1: something is broken; 2: it can't be read."""
+    from sageweir.store.survey import lines
+
+    rows = _surveyed(folder)
+    for line in lines(rows):
+        click.echo(line)
+    sys.exit(1 if any(row.why for row in rows) else 0)
+
+
+@store.command("dump")
+@click.argument("folder", type=click.Path(path_type=Path))
+def store_dump(folder: Path) -> None:
+    """All records that are whole, one a line: its number, and its bytes as text. Exit codes as of check."""
+    rows = _surveyed(folder)
+    for row in rows:
+        if row.kind == "segment":
+            for i, body in enumerate(row.records):
+                click.echo(f"{row.first + i} {body.decode('utf-8', 'backslashreplace')}")
+    sys.exit(1 if any(row.why for row in rows) else 0)
+
+
 @main.group()
 def lab() -> None:
     """Experiments: stand-in servers and proxies on loopback, figures and bounds."""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,11 +9,14 @@
 from random import Random
 
 import pytest
+from click.testing import CliRunner
 
+from sageweir.cli import main
 from sageweir.lab.faultydisk import FaultyDisk, PowerCut
 from sageweir.store.files import Files, Locked, RealFiles
 from sageweir.store.frames import BODY_MAX, Broken, Head, decode_head, encode_head, encode_record
 from sageweir.store.log import Distrusted, Level, Log
+from sageweir.store.survey import lines, owner_of, survey
 
 OWNER = 0x5a6e
 
@@ -318,3 +321,41 @@
 def test_a_record_is_told_from_another_at_the_same_place() -> None:
     a, chain = encode_record(b"a", 0)
     assert encode_record(b"a", chain)[0] != a and encode_record(b"a", 0) == (a, chain)
+
+
+# For operators
+
+def test_a_directory_is_surveyed_and_left_as_it_is(tmp_path: Path) -> None:
+    folder = tmp_path / "store"
+    files = RealFiles(folder)
+    filled(files, 12, snapshot_after=5).close()
+    before = {path.name: path.read_bytes() for path in folder.iterdir()}
+    shown = CliRunner().invoke(main, ["store", "check", str(folder)])
+    assert shown.exit_code == 0 and "state of all before record 6" in shown.output and "to 12" in shown.output
+    dumped = CliRunner().invoke(main, ["store", "dump", str(folder)])
+    assert dumped.exit_code == 0 and dumped.output.splitlines()[-1].startswith("12 record 12 ")
+    last = folder / sorted(name for name in before if name.startswith("log-"))[-1]
+    last.write_bytes(last.read_bytes()[:-1])
+    (folder / "log-000000000099").write_bytes(b"rubbish")
+    shown = CliRunner().invoke(main, ["store", "check", str(folder)])
+    assert shown.exit_code == 1 and shown.output.count("BROKEN") == 2 and "a record is cut at byte" in shown.output
+    assert CliRunner().invoke(main, ["store", "check", str(tmp_path / "nowhere")]).exit_code == 2
+
+
+def test_a_survey_tells_where_segments_do_not_join() -> None:
+    disk = FaultyDisk(Random(1))
+    filled(disk, 20)
+    names = [name for name in disk.names() if name.startswith("log-")]
+    files = {name: disk.read(name) for name in names}
+    assert not any(row.why for row in survey(files)) and owner_of(files) == OWNER
+    gone = survey({name: data for name, data in files.items() if name != names[1]})
+    assert ["was next" in row.why for row in gone].count(True) == 1
+    other = FaultyDisk(Random(2))
+    log = Log(other, OWNER, segment_bytes=120)
+    for body in bodies(20):
+        log.append(body.upper())
+        log.commit()
+    mixed = survey(files | {names[2]: other.read(names[2])})
+    assert any("not the one that was written after" in row.why for row in mixed)
+    assert survey({"log-000000000001": b""})[0].why == "nothing tells whose it is"
+    assert lines(survey({"note": b"x"})) == ["note: 1 bytes, not read"]
