--- a/sageweir/lab/commands.py
+++ b/sageweir/lab/commands.py
@@ -105,6 +105,18 @@
         _finish(run(seeds, faults, gaps, whole, workers, rigs, first), json_path, plot, "Without a holder",
                 Timing().lease_ms)
 
+    @group.command()
+    @click.option("--records", default=100_000, show_default=True, help="Of the largest log that is recovered.")
+    @click.option("--commits", default=300, show_default=True, help="Of each level.")
+    @click.option("--seeds", default=10, show_default=True, help="Each with a power cut at each operation.")
+    @click.option("--where", type=click.Path(file_okay=False, path_type=Path), help="On the disk that is meant.")
+    @_json
+    def store(records: int, commits: int, seeds: int, where: Path | None, json_path: Path | None) -> None:
+        """The store's log: its levels and recovery beside SQLite and LMDB; cuts, flips and power cuts."""
+        from sageweir.lab.store import store as run
+
+        _finish(run(records, commits, seeds, where), json_path, None, "", 0.0)
+
     @group.command()
     @click.option("--upgrades", default=10, show_default=True)
     @click.option("--callers", default=20, show_default=True)
