--- a/sageweir/cluster/duties/service.py
+++ b/sageweir/cluster/duties/service.py
@@ -207,9 +207,12 @@
         due = min([held.seeker.due() for held in self.held.values()], default=now + self.timing.lease_ms)
         self._timer = self.clock.after(min(max(1.0, due - now), self.timing.lease_ms / LOOKS), self._look)
 
+    def _terms(self) -> dict[str, int]:
+        """For people: the highest term of each duty that this elector has promised."""
+        return {duty: one.term for duty, one in self.elector.promises.items() if duty} if self.elector else {}
+
     def _back(self, kept: object) -> None:
-        log.info("the elector takes part: terms=%s", {d: p.term for d, p in self.elector.promises.items()}
-                 if self.elector else {})
+        log.info("the elector takes part: terms=%s", self._terms())
         self._write(None)
 
     # Holding
@@ -591,7 +594,7 @@
             "letters_unreadable": self.unreadable, "elector": None}
         if elector is not None:
             found["elector"] = {
-                "takes_part": elector.intact, "terms": {d: p.term for d, p in elector.promises.items()},
+                "takes_part": elector.intact, "terms": self._terms(),
                 "bound_to": {d: p.next or p.seeker for d, p in elector.promises.items() if p.until > elector.time},
                 "writes": self.store.writes}
         return found
