--- a/sageweir/cluster/duties/prober.py
+++ b/sageweir/cluster/duties/prober.py
@@ -7,8 +7,8 @@
 
 While nobody holds the duty, or what the holder tells grows old, each member tests by itself, as if there were no
 prober. Guards against a holder that alone can't reach the server: each member makes trial calls of its own now and then
-all the same. Guards against a server that passes tests and answers no set-up: a return that proves wrong is told again
-only after twice the time.
+all the same. Guards against a server that passes tests and answers no set-up: it is told back once; one that comes and
+goes is told back again only after twice the time.
 """
 
 from __future__ import annotations
--- a/tests/test_cluster_works.py
+++ b/tests/test_cluster_works.py
@@ -219,16 +219,63 @@
     assert list(other.cases) == [KEY] and prober.decode(b"x") == () == prober.decode_bad(b"x")
 
 
-def test_a_server_that_passes_tests_and_answers_nothing_is_told_back_ever_more_rarely() -> None:
-    one, told, now = prober.Prober(), 0, 0.0
-    for _ in range(240):  # two minutes, in which a member goes on to tell
+class ToldEachTime(prober.Prober):
+    """Tells each return, however often it proved wrong."""
+
+    def result(self, now: float, key: prober.Key, passed: bool) -> None:
+        self.cases[key].again_at = 0.0
+        super().result(now, key, passed)
+
+
+class NeverBack(prober.Prober):
+    """Goes on telling what it found once."""
+
+    def result(self, now: float, key: prober.Key, passed: bool) -> None:
+        super().result(now, key, passed and not self.cases[key].silent)
+
+
+class OldOutcomes(prober.Prober):
+    """Tells what it found however long ago."""
+
+    def outcomes(self, now: float) -> tuple[prober.Outcome, ...]:
+        return tuple(prober.Outcome(*key, True, 0.0) for key, case in self.cases.items() if case.silent)
+
+
+def wrong_words(one: prober.Prober) -> list[str]:
+    """What a prober tells that it should not: of a server that comes and goes, and one that is silent and then back."""
+    told, now, found = 0, 0.0, list[str]()
+    for beat in range(240):  # two minutes of a server that passes each third test
         now += 500.0
         one.reported(now, "a", [prober.Bad(*KEY)])
         before = one.cases[KEY].back_at
         for key in one.due(now):
-            one.result(now, key, True)
-        told += one.cases[KEY].back_at != before
-    assert 1 <= told <= 6
+            one.result(now, key, beat % 3 == 2)
+        told += one.cases[KEY].back_at not in (None, before)
+    if not 1 <= told <= 8:
+        found.append(f"a server that comes and goes was told back {told} times")
+    other = ("other", 1.0)
+    one.reported(now, "a", [prober.Bad(*other)])
+    for passed in (False, False, False):
+        now += 500.0
+        for key in one.due(now):
+            one.result(now, key, passed)
+    if not any(out.silent and out.server == "other" for out in one.outcomes(now)):
+        found.append("a silent server was not told")
+    if any(out.silent and out.server == "other" for out in one.outcomes(now + 60_000.0)):
+        found.append("an outcome of a minute ago was told")
+    one.due(now)
+    one.result(now, other, True)
+    if any(out.silent and out.server == "other" for out in one.outcomes(now)):
+        found.append("a server that passes was told silent")
+    return found
+
+
+def test_what_a_prober_tells_is_right_and_planted_faults_are_found() -> None:
+    assert wrong_words(prober.Prober()) == []
+    planted: list[tuple[type[prober.Prober], str]] = [
+        (ToldEachTime, "told back"), (NeverBack, "passes was told silent"), (OldOutcomes, "minute ago")]
+    for kind, word in planted:
+        assert any(word in text for text in wrong_words(kind())), kind.__name__
 
 
 def test_a_member_heeds_what_is_young_and_tests_by_itself_now_and_then() -> None:
