--- a/dahliabridge/adapter.py
+++ b/dahliabridge/adapter.py
@@ -13,8 +13,14 @@
 
 STATES = {"IN": api.ServerState.IN_SERVICE, "LAME": api.ServerState.DRAINING, "OUT": api.ServerState.GONE}
 OUTCOMES = {
-    0: api.Outcome.COMPLETED, 13: api.Outcome.ERROR, 8: api.Outcome.FULL, 4: api.Outcome.TIMED_OUT,
-    14: api.Outcome.CONNECT_FAILED, 10: api.Outcome.RESET, 1: api.Outcome.CANCELLED, 9: api.Outcome.NOT_SENT,
+    0: api.Outcome.COMPLETED,
+    13: api.Outcome.ERROR,
+    8: api.Outcome.FULL,
+    4: api.Outcome.TIMED_OUT,
+    14: api.Outcome.CONNECT_FAILED,
+    10: api.Outcome.RESET,
+    1: api.Outcome.CANCELLED,
+    9: api.Outcome.NOT_SENT,
 }
 NUMBER_BUSY_CAUSE = 4
 FULL_CAUSE, CAUSE_BITS = 3, 16
@@ -70,29 +76,39 @@
 def read_settings(raw: dict[str, Any]) -> tuple[api.Settings, tuple[str, ...]]:
     """The start-up settings, and the names of a load report's values."""
     caps, rules, family, load = (
-        _object(raw.get(key, {}), f"'{key}'") for key in ("caps", "rules", "family_info", "load_info"))
+        _object(raw.get(key, {}), f"'{key}'") for key in ("caps", "rules", "family_info", "load_info")
+    )
     cells = _list(family, "class_cells", [])
     grades = [_object(grade, "a class") for grade in _list(raw, "grades")]
     tenants = [_object(tenant, "a tenant") for tenant in _list(raw, "tenants", [])]
     settings = api.Settings(
         classes=tuple(
             api.ServiceClass(
-                _text(grade, "name"), _num(grade, "worth", 1.0), _num(grade, "late_worth", 0.0),
-                _num(grade, "promise_ms"), _num(grade, "deadline_ms"),
+                _text(grade, "name"),
+                _num(grade, "worth", 1.0),
+                _num(grade, "late_worth", 0.0),
+                _num(grade, "promise_ms"),
+                _num(grade, "deadline_ms"),
                 tuple(cells[i]) if i < len(cells) and isinstance(cells[i], list) else None,
             )
             for i, grade in enumerate(grades)
         ),
-        gateway=_int(raw, "self_index", 0), gateways=_int(raw, "n_instances", 1),
+        gateway=_int(raw, "self_index", 0),
+        gateways=_int(raw, "n_instances", 1),
         tenants=tuple(api.Tenant(_text(t, "name"), _num(t, "quota_per_s", 0.0)) for t in tenants),
         over_share_worth=_num(raw, "over_share_worth", 1.0),
-        release_guard_ms=_num(family, "release_guard_ms", 0.0), resend_ms=_num(family, "resend_ms", 0.0),
+        release_guard_ms=_num(family, "release_guard_ms", 0.0),
+        resend_ms=_num(family, "resend_ms", 0.0),
         answer_slack_ms=_num(rules, "answer_slack_ms", 0.0),
-        cold_from=_num(rules, "cold_from", 1.0), cold_ms=_num(rules, "cold_ms", 0.0),
-        fall_multiple=_num(rules, "fall_multiple", 1.0), fall_ms=_num(rules, "fall_ms", 0.0),
+        cold_from=_num(rules, "cold_from", 1.0),
+        cold_ms=_num(rules, "cold_ms", 0.0),
+        fall_multiple=_num(rules, "fall_multiple", 1.0),
+        fall_ms=_num(rules, "fall_ms", 0.0),
         drain_grace_ms=_num(rules, "drain_grace_ms", 0.0),
-        max_attempts=_int(caps, "max_attempts", 1), may_cancel=_flag(caps, "cancel"),
-        may_tell_peers=_flag(caps, "peer_messages"), may_advise_wait=_flag(caps, "retry_after"),
+        max_attempts=_int(caps, "max_attempts", 1),
+        may_cancel=_flag(caps, "cancel"),
+        may_tell_peers=_flag(caps, "peer_messages"),
+        may_advise_wait=_flag(caps, "retry_after"),
         max_advice_ms=_num(caps, "max_retry_after_ms", 0.0),
     )
     return settings, tuple(str(name) for name in _list(load, "fields", []))
@@ -101,8 +117,10 @@
 def read_report(report: Mapping[str, Any]) -> tuple[float | None, float | None]:
     """The values of a load report that the decisions use; below 0 is not told."""
     rate, share = (report.get(name) for name in ("max_rate", "reduce"))
-    return (float(rate) if isinstance(rate, (int, float)) and rate >= 0 else None,
-            min(1.0, float(share)) if isinstance(share, (int, float)) and share >= 0 else None)
+    return (
+        float(rate) if isinstance(rate, (int, float)) and rate >= 0 else None,
+        min(1.0, float(share)) if isinstance(share, (int, float)) and share >= 0 else None,
+    )
 
 
 def _server(row: Any) -> api.Server:
@@ -110,8 +128,9 @@
     state = STATES.get(_text(row, "lifecycle", "IN"))
     if state is None:
         raise WireError(f"unknown 'lifecycle' {row['lifecycle']!r}")
-    return api.Server(_text(row, "switch"), _int(row, "place_no", -1), state,
-                      _num(row, "up_since_ms", 0.0), _num(row, "size", 1.0))
+    return api.Server(
+        _text(row, "switch"), _int(row, "place_no", -1), state, _num(row, "up_since_ms", 0.0), _num(row, "size", 1.0)
+    )
 
 
 class Host:
@@ -122,13 +141,16 @@
         self.report_fields: dict[int, tuple[str, ...]] = {}
         self.sheets: dict[int, tuple[api.Server, ...]] = {}
         self.readers: dict[str, Callable[[dict[str, Any], tuple[str, ...]], api.Event]] = {
-            "MEMBERSHIP": self._list_change, "ACCEPT": self._setup, "RESOLVED": self._ended,
+            "MEMBERSHIP": self._list_change,
+            "ACCEPT": self._setup,
+            "RESOLVED": self._ended,
             "NOTE_FROM": lambda e, _: api.PeerMessage(_int(e, "src_peer"), _text(e, "payload", "")),
             "VANISHED": lambda e, _: api.CallerGone(_text(e, "rid")),
             "SAMPLED": lambda e, fields: api.ServerReport(_text(e, "switch"), *self._report(e, fields)),
             "ELAPSED": lambda e, _: api.TimerFired(_int(e, "name")),
-            "FIRST_BYTE": lambda e, _: api.Answered(_text(e, "rid"), _int(e, "shot", 0), _text(e, "switch"),
-                                                    _num(e, "took_ms", 0.0)),
+            "FIRST_BYTE": lambda e, _: api.Answered(
+                _text(e, "rid"), _int(e, "shot", 0), _text(e, "switch"), _num(e, "took_ms", 0.0)
+            ),
         }
 
     def batch(self, line: str) -> str:
@@ -194,9 +216,14 @@
     def _setup(event: dict[str, Any], _: tuple[str, ...]) -> api.Event:
         marks = _int(event, "marks", 0)
         return api.SetupRequest(
-            _text(event, "rid"), _text(event, "cls"), _num(event, "grace_ms"), _int(event, "called_node", -1),
-            _text(event, "target_key", ""), _text(event, "owner", ""),
-            bool(marks & REDIALLED), bool(marks & WAS_CUT),
+            _text(event, "rid"),
+            _text(event, "cls"),
+            _num(event, "grace_ms"),
+            _int(event, "called_node", -1),
+            _text(event, "target_key", ""),
+            _text(event, "owner", ""),
+            bool(marks & REDIALLED),
+            bool(marks & WAS_CUT),
         )
 
     def _ended(self, event: dict[str, Any], fields: tuple[str, ...]) -> api.Event:
@@ -209,8 +236,14 @@
         elif cause % CAUSE_BITS == FULL_CAUSE:
             wait_ms = float(cause // CAUSE_BITS)
         return api.AttemptEnded(
-            _text(event, "rid"), _int(event, "shot", 0), _text(event, "switch"), outcome,
-            _num(event, "took_ms", 0.0), _flag(event, "closed"), wait_ms, *self._report(event, fields),
+            _text(event, "rid"),
+            _int(event, "shot", 0),
+            _text(event, "switch"),
+            outcome,
+            _num(event, "took_ms", 0.0),
+            _flag(event, "closed"),
+            wait_ms,
+            *self._report(event, fields),
         )
 
     @staticmethod
--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -145,9 +145,8 @@
 
     def __init__(self, settings: api.Settings, rules: api.Rules | None = None) -> None:
         classes, tenants = len(settings.classes), len(settings.tenants)
-        self.rules = rules or api.Rules(
-            0, (TARGET_OF_AIM,) * classes, (1.0,) * classes, (1.0,) * tenants, COLD_PART, 1.0,
-            settings.max_attempts, settings.release_guard_ms)
+        weights = (TARGET_OF_AIM,) * classes, (1.0,) * classes, (1.0,) * tenants, COLD_PART, 1.0
+        self.rules = rules or api.Rules(0, *weights, settings.max_attempts, settings.release_guard_ms)
         waits = settings.resend_ms * TARGET_OF_RESEND if settings.resend_ms > 0 else inf
         parts = zip(settings.classes, self.rules.target_parts, strict=True)
         self.targets = [min(c.aim_ms * part, waits) for c, part in parts]
@@ -158,9 +157,7 @@
 class CallState:
     """A call that this gateway owes an answer, or that stands."""
 
-    def __init__(
-        self, request: api.SetupRequest, index: int, first_at: float, now: float, version: Version
-    ) -> None:
+    def __init__(self, request: api.SetupRequest, index: int, first_at: float, now: float, version: Version):
         self.request, self.index, self.first_at, self.version = request, index, first_at, version
         self.target = version.targets[index]
         self.number = request.number or request.call  # calls without a number share no memory
--- a/dahliabridge/interface.py
+++ b/dahliabridge/interface.py
@@ -60,8 +60,14 @@
             raise ValueError("settings name no class, or one twice")
         parts = [self.over_share_worth, *(c.late_worth for c in self.classes), self.cold_from]
         amounts = [
-            self.release_guard_ms, self.resend_ms, self.answer_slack_ms, self.cold_ms, self.fall_multiple,
-            self.fall_ms, self.max_advice_ms, *(c.worth for c in self.classes),
+            self.release_guard_ms,
+            self.resend_ms,
+            self.answer_slack_ms,
+            self.cold_ms,
+            self.fall_multiple,
+            self.fall_ms,
+            self.max_advice_ms,
+            *(c.worth for c in self.classes),
             *(t.quota_per_s for t in self.tenants),
         ]
         times = [time for c in self.classes for time in (c.aim_ms, c.deadline_ms)]
@@ -275,8 +281,19 @@
 
 
 Event = (
-    ListChange | ListLost | SetupRequest | CallerGone | Answered | AttemptEnded
-    | ServerReport | PeerMessage | FleetSize | ColdPart | Probed | RulesChanged | TimerFired
+    ListChange
+    | ListLost
+    | SetupRequest
+    | CallerGone
+    | Answered
+    | AttemptEnded
+    | ServerReport
+    | PeerMessage
+    | FleetSize
+    | ColdPart
+    | Probed
+    | RulesChanged
+    | TimerFired
 )
 
 
--- a/dahliabridge/learned.py
+++ b/dahliabridge/learned.py
@@ -11,13 +11,26 @@
 def learned(module: Controller) -> api.Learned:
     """What a process that goes on in this one's place should know."""
     return api.Learned(
-        module.arrived.rate, module.first.rate, tuple((n, flow.rate) for n, flow in module.named.items()),
-        tuple(api.ServerLearned(
-            name, v.entry.started_ms, v.floor if v.floor < inf else None, v.current,
-            v.max_rate if v.max_rate < inf else None, v.hold_back, v.errors, v.bad,
-            max(0.0, v.closed_until), tuple(b.rate for b in v.buckets),
-            tuple(b.sent.rate for b in v.buckets))
-            for name, v in module.servers.items()))
+        module.arrived.rate,
+        module.first.rate,
+        tuple((n, flow.rate) for n, flow in module.named.items()),
+        tuple(
+            api.ServerLearned(
+                name,
+                v.entry.started_ms,
+                v.floor if v.floor < inf else None,
+                v.current,
+                v.max_rate if v.max_rate < inf else None,
+                v.hold_back,
+                v.errors,
+                v.bad,
+                max(0.0, v.closed_until),
+                tuple(b.rate for b in v.buckets),
+                tuple(b.sent.rate for b in v.buckets),
+            )
+            for name, v in module.servers.items()
+        ),
+    )
 
 
 def recall(module: Controller, learned: api.Learned, now: float) -> None:
--- a/examples/control_demo.py
+++ b/examples/control_demo.py
@@ -1,6 +1,6 @@
 """Start a feed stand-in, a control service and a stand-in proxy; show a drain arriving at the proxy; stop them.
 
-    python examples/control_demo.py
+python examples/control_demo.py
 """
 
 from __future__ import annotations
@@ -60,8 +60,7 @@
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         json.dump(config, file)
         file.flush()
-        service = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sageweir.control", "--config", file.name)
+        service = await asyncio.create_subprocess_exec(sys.executable, "-m", "sageweir.control", "--config", file.name)
         client, done, seen = XdsClient("demo-proxy", delta=True), asyncio.Event(), list[float]()
         channel = grpc.aio.insecure_channel(f"127.0.0.1:{PORT}")
         call = channel.stream_stream(METHOD.format("Delta"))(wait_for_ready=True)
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,6 +1,6 @@
 """A toy clearing server: takes each set-up after a moment, and ends the call a little later.
 
-    python examples/toy_server.py 4001
+python examples/toy_server.py 4001
 """
 
 from __future__ import annotations
--- a/examples/try_it.py
+++ b/examples/try_it.py
@@ -1,6 +1,6 @@
 """Start two toy servers and a controller, make one call, print what the caller sees, and stop them.
 
-    python examples/try_it.py
+python examples/try_it.py
 """
 
 from __future__ import annotations
@@ -32,12 +32,17 @@
     toys = [subprocess.Popen([sys.executable, toy, port]) for port in ("4001", "4002")]
     for port in (4001, 4002):
         connect(port).close()
-    controller = subprocess.Popen([sys.executable, "-m", "sageweir"], cwd=HERE.parent,
-                                  env=os.environ | {"NODE_CONFIG": str(HERE / "config.json")})
+    controller = subprocess.Popen(
+        [sys.executable, "-m", "sageweir"], cwd=HERE.parent, env=os.environ | {"NODE_CONFIG": str(HERE / "config.json")}
+    )
     try:
         with connect(3868) as caller:
-            set_up = {"msg": "open", "sid": "9b1f03aa5c7e2d41", "text": "an offer",
-                      "attrs": {"class": "status-check", "left": "1500", "key": "1", "extras": "dest:0"}}
+            set_up = {
+                "msg": "open",
+                "sid": "9b1f03aa5c7e2d41",
+                "text": "an offer",
+                "attrs": {"class": "status-check", "left": "1500", "key": "1", "extras": "dest:0"},
+            }
             caller.sendall(json.dumps(set_up).encode() + b"\n")
             lines = caller.makefile()
             for _ in range(2):
--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -73,8 +73,9 @@
         log.info("%s: operators are answered at %s", config.name, config.admin)
     for event in config.known:
         servers.follow(event.listed, event.complete)
-    feed = FeedClient(clock, limits, config.feed, config.known_number,
-                      lambda event: servers.follow(event.listed, event.complete))
+    feed = FeedClient(
+        clock, limits, config.feed, config.known_number, lambda event: servers.follow(event.listed, event.complete)
+    )
     feed.start()
     loop.add_signal_handler(signal.SIGHUP, Reloader(clock, config, feed, load).reload)
     stop = asyncio.Event()
@@ -84,8 +85,16 @@
         from sageweir.net.handover import Handover
 
         settings = f"{zlib.crc32(repr(config.settings).encode()):08x}"
-        handover = Handover(clock, limits, config.folder, config.name, settings, exchange, callers,
-                            lambda: JsonLines(limits.message_bytes))
+        handover = Handover(
+            clock,
+            limits,
+            config.folder,
+            config.name,
+            settings,
+            exchange,
+            callers,
+            lambda: JsonLines(limits.message_bytes),
+        )
         await handover.inherit()
 
     def stopping() -> None:
@@ -105,12 +114,17 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping)
-    await _listen("listen" if config.socket_fd is None else "NODE_SOCKET_FD", callers.listen(
-        config.listen.host, config.listen.port, lambda: JsonLines(limits.message_bytes), config.socket_fd))
+    await _listen(
+        "listen" if config.socket_fd is None else "NODE_SOCKET_FD",
+        callers.listen(
+            config.listen.host, config.listen.port, lambda: JsonLines(limits.message_bytes), config.socket_fd
+        ),
+    )
     log.info("%s: serving at %s", config.name, config.listen)
     if (front := config.websocket) is not None:
-        await callers.listen(front.host, front.port,
-                             lambda: WebSocket(limits.message_bytes, limits.head_bytes, front.path))
+        await callers.listen(
+            front.host, front.port, lambda: WebSocket(limits.message_bytes, limits.head_bytes, front.path)
+        )
         log.info("%s: serving WebSocket at %s", config.name, front)
     if (proxies := config.xds) is not None:
         # Only here: the page and its decisions are not loaded where nobody asks for them.
@@ -127,8 +141,11 @@
     lifecycle.serving(clock.now())
     await stop.wait()
     log.info("%s: stopping, %d calls are open", config.name, len(exchange.calls))
-    while not lifecycle.over(clock.now(), exchange.unanswered, len(exchange.calls) - exchange.unanswered) \
-            or (handover is not None and not handover.settled()) or (fleet is not None and not fleet.settled):
+    while (
+        not lifecycle.over(clock.now(), exchange.unanswered, len(exchange.calls) - exchange.unanswered)
+        or (handover is not None and not handover.settled())
+        or (fleet is not None and not fleet.settled)
+    ):
         await asyncio.sleep(0.02)
         if handover is not None:
             handover.hand_over()
@@ -152,8 +169,12 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, datefmt="%H:%M:%S",
-                        format="%(asctime)s.%(msecs)03d %(levelname)s %(name)s %(message)s")
+    logging.basicConfig(
+        level=logging.INFO,
+        stream=sys.stderr,
+        datefmt="%H:%M:%S",
+        format="%(asctime)s.%(msecs)03d %(levelname)s %(name)s %(message)s",
+    )
     for handler in logging.getLogger().handlers:
         handler.addFilter(RateLimit())
     try:
--- a/sageweir/cli.py
+++ b/sageweir/cli.py
@@ -134,8 +134,13 @@
 @cluster.command("change")
 @click.argument("do", type=click.Choice(["propose", "show", "go", "halt"]))
 @click.argument("words", nargs=-1, metavar="[FILE|WHY] [ADDRESS]")
-@click.option("--kind", type=click.Choice(["rules", "shards", "program"]), default="rules", show_default=True,
-              help="Of what FILE holds.")
+@click.option(
+    "--kind",
+    type=click.Choice(["rules", "shards", "program"]),
+    default="rules",
+    show_default=True,
+    help="Of what FILE holds.",
+)
 @click.option("--wait", default=10.0, show_default=True, help="Seconds until the holder must have answered.")
 @click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
 def cluster_change(do: str, words: tuple[str, ...], kind: str, wait: float, as_json: bool) -> None:
@@ -288,8 +293,9 @@
     from sageweir.store.survey import survey
 
     try:
-        return survey({path.name: path.read_bytes() for path in folder.iterdir()
-                       if path.is_file() and path.name != "lock"})
+        return survey(
+            {path.name: path.read_bytes() for path in folder.iterdir() if path.is_file() and path.name != "lock"}
+        )
     except OSError as error:
         click.echo(f"{folder}: {error.strerror}", err=True)
         sys.exit(2)
--- a/sageweir/clock.py
+++ b/sageweir/clock.py
@@ -60,8 +60,7 @@
 class SetClock:
     """A clock that stands still until it is moved; for tests, where no verdict may hang on real time."""
 
-    def __init__(self, now_ms: float = 1_000_000.0,
-                 soon: Callable[[Callable[[], None]], object] | None = None) -> None:
+    def __init__(self, now_ms: float = 1_000_000.0, soon: Callable[[Callable[[], None]], object] | None = None) -> None:
         self._now, self._count, self._soon = now_ms, 0, soon
         self._timers: list[tuple[float, int, _SetTimer]] = []
 
--- a/sageweir/cluster/changes/before.py
+++ b/sageweir/cluster/changes/before.py
@@ -54,8 +54,9 @@
 
     def add(self, name: str, rows: Sequence[Row], spent_ms: float) -> None:
         """What happened at a member within so many ms, by row."""
-        self.put(name, [(row.served + row.late + row.refused + row.failed, row.served, row.late) for row in rows],
-                 spent_ms)
+        self.put(
+            name, [(row.served + row.late + row.refused + row.failed, row.served, row.late) for row in rows], spent_ms
+        )
 
     def put(self, name: str, rows: Sequence[tuple[float, float, float]], spent_ms: float) -> None:
         """The same as ended, served and late calls by row."""
@@ -95,15 +96,24 @@
             part = past.spent_ms / (past.spent_ms + HALF_MS)
             members[name] = tuple(
                 mean + part * (_worth(row, late) - mean) if row[0] else mean
-                for row, late, mean in zip(past.rows, late_worths, means, strict=True))
+                for row, late, mean in zip(past.rows, late_worths, means, strict=True)
+            )
         counted = [i for i, weight in enumerate(weights) if weight]
         ended = sum(sums[i][0] for i in counted)
         worth = sum(sums[i][1] + late_worths[i] * sums[i][2] for i in counted)
         spent = sum(past.spent_ms for past in known) / len(known)
-        each = [sum(past.rows[i][1] + late_worths[i] * past.rows[i][2] for i in counted)
-                / max(1.0, sum(past.rows[i][0] for i in counted)) for past in known]
-        return Usual(members, means, worth / ended if ended else 0.0, spent,
-                     2.0 * (pstdev(each) if len(each) > 2 else 0.05) * HALF_MS / (spent + HALF_MS))
+        each = [
+            sum(past.rows[i][1] + late_worths[i] * past.rows[i][2] for i in counted)
+            / max(1.0, sum(past.rows[i][0] for i in counted))
+            for past in known
+        ]
+        return Usual(
+            members,
+            means,
+            worth / ended if ended else 0.0,
+            spent,
+            2.0 * (pstdev(each) if len(each) > 2 else 0.05) * HALF_MS / (spent + HALF_MS),
+        )
 
 
 def _worth(row: Sequence[float], late_worth: float) -> float:
--- a/sageweir/cluster/changes/disk.py
+++ b/sageweir/cluster/changes/disk.py
@@ -93,7 +93,7 @@
             if len(self.blobs) >= BLOBS_MOST:
                 used = {one.digest for one in self.known.proven}
                 # Guards against contents without end; those of the change under way are the newest.
-                for digest in [name for name in self.blobs if name not in used][:BLOBS_MOST // 2]:
+                for digest in [name for name in self.blobs if name not in used][: BLOBS_MOST // 2]:
                     del self.blobs[digest]
         self.log.append(msgspec.msgpack.encode(record))
         self.log.commit()
--- a/sageweir/cluster/changes/document.py
+++ b/sageweir/cluster/changes/document.py
@@ -49,8 +49,14 @@
     classes = _rows(raw, "classes", {c.name for c in settings.classes}, frozenset({"target_part", "rank"}))
     tenants = _rows(raw, "tenants", {t.name for t in settings.tenants}, frozenset({"rank"}))
 
-    def of(rows: Mapping[str, Mapping[str, Any]], where: str, name: str, key: str, default: float,
-           bounds: tuple[float, float]) -> float:
+    def of(
+        rows: Mapping[str, Mapping[str, Any]],
+        where: str,
+        name: str,
+        key: str,
+        default: float,
+        bounds: tuple[float, float],
+    ) -> float:
         return _number(rows.get(name, {}), key, f"{where}.{name}.", default, *bounds)
 
     attempts = _number(raw, "attempts", "", usual.attempts, 1, settings.max_attempts)
@@ -58,13 +64,17 @@
         raise Refused(f"attempts: must be a whole number, got {attempts:g}")
     return api.Rules(
         version,
-        tuple(of(classes, "classes", c.name, "target_part", part, TARGET_PARTS)
-              for c, part in zip(settings.classes, usual.target_parts, strict=True)),
+        tuple(
+            of(classes, "classes", c.name, "target_part", part, TARGET_PARTS)
+            for c, part in zip(settings.classes, usual.target_parts, strict=True)
+        ),
         tuple(of(classes, "classes", c.name, "rank", 1.0, RANKS) for c in settings.classes),
         tuple(of(tenants, "tenants", t.name, "rank", 1.0, RANKS) for t in settings.tenants),
         _number(raw, "cold_part", "", usual.cold_part, COLD_LEAST, usual.cold_part),
-        _number(raw, "heed", "", usual.heed, *HEED), int(attempts),
-        _number(raw, "guard_ms", "", usual.guard_ms, settings.release_guard_ms, max(GUARD_MOST, usual.guard_ms)))
+        _number(raw, "heed", "", usual.heed, *HEED),
+        int(attempts),
+        _number(raw, "guard_ms", "", usual.guard_ms, settings.release_guard_ms, max(GUARD_MOST, usual.guard_ms)),
+    )
 
 
 def _rows(raw: Mapping[str, Any], key: str, known: set[str], inside: frozenset[str]) -> Mapping[str, Mapping[str, Any]]:
--- a/sageweir/cluster/changes/engine.py
+++ b/sageweir/cluster/changes/engine.py
@@ -193,8 +193,11 @@
             self.turns.pop(name, None)
             return True
         lasts = TURN_PERMITS * self.terms.permit_ms
-        self.turns = {one: at for one, at in self.turns.items() if now - at < lasts and one in self.seen
-                      and self.seen[one].report.has != target}
+        self.turns = {
+            one: at
+            for one, at in self.turns.items()
+            if now - at < lasts and one in self.seen and self.seen[one].report.has != target
+        }
         if name in self.turns:
             return True
         here = sum(seen.zone == zone for seen in self.seen.values())
@@ -208,8 +211,9 @@
         plan, book = self.plan, self.book
         if book.kind != PROGRAM or plan is None:
             return ""
-        names = sorted(name for name in plan.allowed(book.stage) if name in self.seen
-                       and self.seen[name].report.has != book.number)
+        names = sorted(
+            name for name in plan.allowed(book.stage) if name in self.seen and self.seen[name].report.has != book.number
+        )
         return f"{', '.join(names[:4])} of {len(names)} have not changed over yet" if names else ""
 
     def allowed(self) -> frozenset[str]:
@@ -225,8 +229,9 @@
         has no word of theirs can't agree with an old one that has.
         """
         book, plan = self.book, self.plan
-        return (book.kind == SHARDS and book.phase is Phase.RUN and plan is not None
-                and book.stage + 1 >= len(plan.stages))
+        return (
+            book.kind == SHARDS and book.phase is Phase.RUN and plan is not None and book.stage + 1 >= len(plan.stages)
+        )
 
     @staticmethod
     def _zones(plan: Plan, book: Book) -> set[str]:
@@ -235,8 +240,9 @@
     def news(self) -> News | None:
         """What all are told at each beat, once the register is known."""
         book = self.book
-        return News(book.floor, book.proven, book.number, book.phase, book.why,
-                    self.spoken.form) if self.known else None
+        return (
+            News(book.floor, book.proven, book.number, book.phase, book.why, self.spoken.form) if self.known else None
+        )
 
     # Operators
 
@@ -321,7 +327,7 @@
         """The next book. The reason is cut to what fits."""
         book = structs.replace(self.book, step=self.book.step + 1, why=why[:150], **change)
         while len(encode(book)) > BODY_BYTES and book.why:
-            book = structs.replace(book, why=book.why[:len(book.why) // 2])
+            book = structs.replace(book, why=book.why[: len(book.why) // 2])
         return book
 
     def _decide(self, now: float, fleet: Fleet) -> Book | None:
@@ -359,8 +365,18 @@
         if plan.number <= max(self.book.number, self.memory):
             self.verdict = Verdict(Word.WAIT, f"number {plan.number} is taken")
             return None
-        return self._step("proposed", number=plan.number, floor=max(self.book.floor, plan.number - 1), kind=kind,
-                          digest=digest, plan=self._next_plan, stage=0, phase=Phase.RUN, block=0, on=True)
+        return self._step(
+            "proposed",
+            number=plan.number,
+            floor=max(self.book.floor, plan.number - 1),
+            kind=kind,
+            digest=digest,
+            plan=self._next_plan,
+            stage=0,
+            phase=Phase.RUN,
+            block=0,
+            on=True,
+        )
 
     def _halt(self, why: str) -> Book:
         self.verdict = Verdict(Word.HALT, why)
@@ -369,8 +385,10 @@
     def _refusal(self) -> str:
         """A member of the stages so far that says that it can't take the change up."""
         allowed = self.plan.allowed(self.book.stage) if self.plan is not None else frozenset()
-        return next((f"{name}: {seen.report.why}" for name, seen in self.seen.items()
-                     if name in allowed and seen.report.why), "")
+        return next(
+            (f"{name}: {seen.report.why}" for name, seen in self.seen.items() if name in allowed and seen.report.why),
+            "",
+        )
 
     def _run(self, now: float, fleet: Fleet) -> Book | None:
         book, plan, gate = self.book, self.plan, self.gate
@@ -412,8 +430,12 @@
                     return None
                 proven = [one for one in book.proven if one.kind != book.kind]
                 proven.append(Proven(book.kind, book.number, book.digest))
-                return self._step(self.verdict.why, phase=Phase.DONE, floor=book.number,
-                                  proven=tuple(sorted(proven, key=lambda one: one.kind)))
+                return self._step(
+                    self.verdict.why,
+                    phase=Phase.DONE,
+                    floor=book.number,
+                    proven=tuple(sorted(proven, key=lambda one: one.kind)),
+                )
         if self.wish.go and book.stage + 1 < len(plan.stages) and not hindrance(fleet):
             return self._step("by the operator", stage=book.stage + 1)
         return None
@@ -428,11 +450,17 @@
         book, plan, gate = self.book, self.plan, self.gate
         if book.kind != RULES or plan is None or gate is None or gate.tried or not self.bounds.tried:
             return False
-        first = [len(names) for names, zone in zip(plan.stages, plan.zones, strict=True)
-                 if zone == plan.zones[0] and names[0] not in plan.apart]
-        whole = sum(first) + sum(len(names) for names, zone in zip(plan.stages, plan.zones, strict=True)
-                                 if zone == plan.zones[0] and names[0] in plan.apart)
-        parts = [sum(first[:stage + 1]) / whole for stage in range(len(first))]
+        first = [
+            len(names)
+            for names, zone in zip(plan.stages, plan.zones, strict=True)
+            if zone == plan.zones[0] and names[0] not in plan.apart
+        ]
+        whole = sum(first) + sum(
+            len(names)
+            for names, zone in zip(plan.stages, plan.zones, strict=True)
+            if zone == plan.zones[0] and names[0] in plan.apart
+        )
+        parts = [sum(first[: stage + 1]) / whole for stage in range(len(first))]
         return max(range(len(first)), key=lambda i: parts[i] * (1 - parts[i])) <= book.stage < len(first)
 
     def _uncompared(self) -> str:
@@ -517,12 +545,26 @@
         """For operators."""
         book, plan = self.book, self.plan
         stage = plan.stages[book.stage] if plan is not None and 0 <= book.stage < len(plan.stages) else ()
-        return {"known": self.known, "number": book.number, "floor": book.floor, "kind": book.kind,
-                "digest": book.digest, "phase": book.phase.value, "stage": book.stage,
-                "stages": len(plan.stages) if plan is not None else 0, "members_of_stage": list(stage),
-                "zone": plan.zones[book.stage] if stage and plan is not None else "", "on": book.on,
-                "block": book.block, "step": book.step, "why": book.why, "verdict": self.verdict.word.value,
-                "verdict_why": self.verdict.why, "form": self.spoken.form, "forms": self.spoken.why,
-                "have_it": sorted(n for n, s in self.seen.items() if s.report.has),
-                "proven": {one.kind: [one.number, one.digest] for one in book.proven},
-                "gate": self.gate.show() if self.gate is not None else None}
+        return {
+            "known": self.known,
+            "number": book.number,
+            "floor": book.floor,
+            "kind": book.kind,
+            "digest": book.digest,
+            "phase": book.phase.value,
+            "stage": book.stage,
+            "stages": len(plan.stages) if plan is not None else 0,
+            "members_of_stage": list(stage),
+            "zone": plan.zones[book.stage] if stage and plan is not None else "",
+            "on": book.on,
+            "block": book.block,
+            "step": book.step,
+            "why": book.why,
+            "verdict": self.verdict.word.value,
+            "verdict_why": self.verdict.why,
+            "form": self.spoken.form,
+            "forms": self.spoken.why,
+            "have_it": sorted(n for n, s in self.seen.items() if s.report.has),
+            "proven": {one.kind: [one.number, one.digest] for one in book.proven},
+            "gate": self.gate.show() if self.gate is not None else None,
+        }
--- a/sageweir/cluster/changes/gate.py
+++ b/sageweir/cluster/changes/gate.py
@@ -109,7 +109,7 @@
 
     def observe(self, d: float) -> None:
         """One difference, new less old. Scale and stake follow from what was seen before alone."""
-        scale = 2.0 * ((self.squares + 4 * 0.1 ** 2) / (self.count + 4)) ** 0.5
+        scale = 2.0 * ((self.squares + 4 * 0.1**2) / (self.count + 4)) ** 0.5
         x = -max(-1.0, min(1.0, (d + self.margin) / scale))
         self.log += log(1.0 + self._stake() * x)
         self.seen(d)
@@ -182,7 +182,7 @@
     def busy(self, calls: float) -> bool:
         """Whether a window is one of a burst; it is noted."""
         self.windows += 1
-        over = self.windows > 8 and calls > max(1.25 * self.usual, self.usual + 3 * self.usual ** 0.5)
+        over = self.windows > 8 and calls > max(1.25 * self.usual, self.usual + 3 * self.usual**0.5)
         # A burst that does not end is what is usual, after a while.
         self.usual += (calls - self.usual) / (200.0 if over else min(self.windows, 50))
         return over
@@ -197,8 +197,10 @@
     """What happened between two reports of one process; None where they don't compare."""
     if new.boot != old.boot or len(new.rows) != len(old.rows):
         return None
-    rows = tuple(Row(*(max(0, getattr(a, f) - getattr(b, f)) for f in Row.__struct_fields__))
-                 for a, b in zip(new.rows, old.rows, strict=True))
+    rows = tuple(
+        Row(*(max(0, getattr(a, f) - getattr(b, f)) for f in Row.__struct_fields__))
+        for a, b in zip(new.rows, old.rows, strict=True)
+    )
     return rows
 
 
@@ -214,8 +216,15 @@
 class Gate:
     """One change's. late_worths: of each row; names: of rows, for reasons; memory_mb: a member's limit."""
 
-    def __init__(self, bounds: Bounds, names: Sequence[str], late_worths: Sequence[float], weights: Sequence[float],
-                 memory_mb: float, now: float) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        names: Sequence[str],
+        late_worths: Sequence[float],
+        weights: Sequence[float],
+        memory_mb: float,
+        now: float,
+    ) -> None:
         """weights: each class's worth, and 0 for rows of tenants, which count the same calls again."""
         self.bounds, self.names, self.late_worths, self.weights = bounds, list(names), list(late_worths), list(weights)
         self.memory_kb = memory_mb * 1024
@@ -247,8 +256,9 @@
 
     # What is heard
 
-    def reported(self, now: float, name: str, zone: str, report: Report, crashed: bool, change: int,
-                 group: str, counted: bool) -> None:
+    def reported(
+        self, now: float, name: str, zone: str, report: Report, crashed: bool, change: int, group: str, counted: bool
+    ) -> None:
         """A member's report. change: the number that is tried; group: TRIES, ...; counted: it belongs into a block's
         sums now; crashed: its process is another one, and took no leave.
         """
@@ -266,8 +276,14 @@
         self.exposed[has] += max(0, report.up_ms - last.up_ms)
         for i, row in enumerate(rows):
             ended = row.served + row.late + row.refused + row.failed
-            self.count(zone, has, group, counted, i, Sum(
-                ended, row.served + self.late_worths[i] * row.late, row.attempts, ended * self.usual.of(name, i)))
+            self.count(
+                zone,
+                has,
+                group,
+                counted,
+                i,
+                Sum(ended, row.served + self.late_worths[i] * row.late, row.attempts, ended * self.usual.of(name, i)),
+            )
         if report.memory_kb:
             self.window.memory[has].append(report.memory_kb)
 
@@ -319,8 +335,14 @@
                 if not busy:
                     self.calm[what] = total + d, windows + 1
                 elif windows:  # what differs at other times too has tests of its own
-                    self._observe(self.busy_bets, f"{self._name(i)} under a burst", d - total / windows,
-                                  self.bounds.margin, new, old)
+                    self._observe(
+                        self.busy_bets,
+                        f"{self._name(i)} under a burst",
+                        d - total / windows,
+                        self.bounds.margin,
+                        new,
+                        old,
+                    )
             self.busy += busy and compared
         for i, found in sorted(wide.items()):
             if len(found) > 1:
@@ -342,8 +364,7 @@
             return
         fleet, self.fleet, self.fleet_began = self.fleet, Sum(), now
         if fleet.count and self.exposed[True] and self.usual.spent_ms >= 10 * FLEET_MS:
-            self._plain(FLEET, fleet.worth / fleet.count - self.usual.whole,
-                        3 * self.bounds.margin)
+            self._plain(FLEET, fleet.worth / fleet.count - self.usual.whole, 3 * self.bounds.margin)
 
     def _look_at_attempts(self, window: _Window) -> None:
         both = {has: Sum() for has in (True, False)}
@@ -455,8 +476,13 @@
             if most >= log(tests / self.bounds.doubt) and now - self.began < self.soak_ms + self.bounds.longest_ms:
                 return Verdict(Word.WAIT, f"in doubt again, not for sure: {_text(what, self.late_bets[what])}")
             late = self.late_bets.get(worst[0])
-            if self.cleared < SWITCHED_MAX and worst[1].log >= 2 * strong and late is not None and late.count >= 50 \
-                    and late.log < 1.0:
+            if (
+                self.cleared < SWITCHED_MAX
+                and worst[1].log >= 2 * strong
+                and late is not None
+                and late.count >= 50
+                and late.log < 1.0
+            ):
                 return Verdict(Word.DOUBT, f"again, {_text(*worst)}")
         if now - self.began < self.bounds.least_ms:
             return Verdict(Word.WAIT, f"{now - self.began:.0f} of {self.bounds.least_ms:.0f} ms")
@@ -475,8 +501,10 @@
         worst = self._worst(self.pair_bets)
         least = self.bounds.tried if self.trial else self.bounds.doubt_pairs
         if worst is None:
-            return Verdict(Word.CLEAR if self.pairs >= (least if self.trial else self.bounds.pairs) else Word.WAIT,
-                           f"{self.pairs} pairs of blocks, no calls in both")
+            return Verdict(
+                Word.CLEAR if self.pairs >= (least if self.trial else self.bounds.pairs) else Word.WAIT,
+                f"{self.pairs} pairs of blocks, no calls in both",
+            )
         what, bet = worst
         text = f"{what}: {bet.mean:+.3f} on against off in {bet.count} pairs, e-value {_e(bet.log)}"
         # The first time that it is switched has half of what there is for all, the next a quarter, ...
@@ -507,19 +535,25 @@
 
     def show(self) -> dict[str, object]:
         """For operators: each test's wealth."""
-        bets: dict[str, Bet | Signs] = {**self.bets, **self.busy_bets, **{
-            f"{what}, on against off": bet for what, bet in self.pair_bets.items()}}
+        bets: dict[str, Bet | Signs] = {
+            **self.bets,
+            **self.busy_bets,
+            **{f"{what}, on against off": bet for what, bet in self.pair_bets.items()},
+        }
         worst = sorted(bets.items(), key=lambda one: -one[1].log)[:8]
-        return {"calls": round(self.calls), "pairs": self.pairs, "busy": self.busy,
-                "crashes": [self.crashes[True], self.crashes[False]],
-                "tests": {what: {"mean": round(bet.mean, 4), "count": bet.count, "e": _e(bet.log)}
-                          for what, bet in worst}}
+        return {
+            "calls": round(self.calls),
+            "pairs": self.pairs,
+            "busy": self.busy,
+            "crashes": [self.crashes[True], self.crashes[False]],
+            "tests": {what: {"mean": round(bet.mean, 4), "count": bet.count, "e": _e(bet.log)} for what, bet in worst},
+        }
 
 
 def _median_of_means(values: Sequence[float], parts: int = 5) -> float:
     """A mean that is hardly moved by one who was hit for a part of the time."""
     size = len(values) // parts
-    return median(sum(values[i * size:(i + 1) * size]) / size for i in range(parts))
+    return median(sum(values[i * size : (i + 1) * size]) / size for i in range(parts))
 
 
 def _text(what: str, bet: Bet) -> str:
@@ -527,4 +561,4 @@
 
 
 def _e(value: float) -> str:
-    return f"{2.718281828 ** value:.3g}" if -inf < value < 700 else "over 1e300"
+    return f"{2.718281828**value:.3g}" if -inf < value < 700 else "over 1e300"
--- a/sageweir/cluster/changes/messages.py
+++ b/sageweir/cluster/changes/messages.py
@@ -114,7 +114,7 @@
 
     def allowed(self, stage: int) -> frozenset[str]:
         """Members that may have it at a stage."""
-        return frozenset(name for names in self.stages[:stage + 1] for name in names)
+        return frozenset(name for names in self.stages[: stage + 1] for name in names)
 
     @property
     def last_stages(self) -> int:
--- a/sageweir/cluster/changes/plan.py
+++ b/sageweir/cluster/changes/plan.py
@@ -67,7 +67,7 @@
     """One of each stratum by traffic, and never so many that the zone hangs on them."""
     count = max(1, min(CANARIES, int(len(zone) * CANARY_PART)))
     ranked = sorted(zone, key=lambda member: (member.rate, member.name))
-    return [draw.choice(ranked[len(ranked) * i // count:len(ranked) * (i + 1) // count]) for i in range(count)]
+    return [draw.choice(ranked[len(ranked) * i // count : len(ranked) * (i + 1) // count]) for i in range(count)]
 
 
 def draw_plan(number: int, members: Iterable[Member], draw: Random) -> Plan:
@@ -91,7 +91,7 @@
             # Ordinary ones by traffic: their neighbours are compared with them.
             count = max(1, round(APART_PART * len(left)))
             ranked = sorted(left, key=lambda member: (member.rate, member.name))
-            middle = ranked[(len(ranked) - count + 1) // 2:][:count]
+            middle = ranked[(len(ranked) - count + 1) // 2 :][:count]
             left = [member for member in left if member not in middle]
             apart.append((tuple(sorted(one.name for one in middle)), zone))
         if i == 0:
@@ -100,16 +100,20 @@
         rest = [member for member in left if member not in done]
         for part in PARTS:
             until = max(len(done), round(part * len(left))) if part < 1 else len(left)
-            some = rest[:until - len(done)]
-            rest = rest[len(some):]
+            some = rest[: until - len(done)]
+            rest = rest[len(some) :]
             done += some
             if some:
                 stages.append((tuple(sorted(one.name for one in some)), zone))
     stages += apart
     if len(stages) > STAGES_MAX:
         raise ValueError(f"{len(zones)} zones take {len(stages)} stages, over {STAGES_MAX}")
-    return Plan(number, tuple(names for names, _ in stages), tuple(zone for _, zone in stages),
-                tuple(name for names, _ in apart for name in names))
+    return Plan(
+        number,
+        tuple(names for names, _ in stages),
+        tuple(zone for _, zone in stages),
+        tuple(name for names, _ in apart for name in names),
+    )
 
 
 def encode_plan(plan: Plan) -> bytes:
--- a/sageweir/cluster/changes/register.py
+++ b/sageweir/cluster/changes/register.py
@@ -42,9 +42,16 @@
         return f"step {new.step} after {old.step}"
     if new.number < old.number or new.floor < old.floor or new.floor > new.number:
         return f"change {new.number} (ended {new.floor}) after {old.number} ({old.floor})"
-    if new.number == old.number and new.floor == old.floor == new.number and new.number and (
-            new.stage > old.stage or (old.phase, new.phase) not in (
-                (Phase.BACK, Phase.BACK), (Phase.BACK, Phase.HALTED), (old.phase, old.phase))):
+    if (
+        new.number == old.number
+        and new.floor == old.floor == new.number
+        and new.number
+        and (
+            new.stage > old.stage
+            or (old.phase, new.phase)
+            not in ((Phase.BACK, Phase.BACK), (Phase.BACK, Phase.HALTED), (old.phase, old.phase))
+        )
+    ):
         return f"change {new.number} has ended as {old.phase.value}"
     for one in old.proven:
         if new.of(one.kind).number < one.number:
@@ -76,8 +83,9 @@
 class Keeper:
     """One elector's part. Each answer must wait until `kept()` is written, and what a Put names by content is there."""
 
-    def __init__(self, name: str, keepers: tuple[str, ...], lease_ms: float, now: float, boot: int,
-                 disk: Kept | None = None) -> None:
+    def __init__(
+        self, name: str, keepers: tuple[str, ...], lease_ms: float, now: float, boot: int, disk: Kept | None = None
+    ) -> None:
         """boot: drawn anew at each start; disk: what was found there."""
         self.name, self.keepers, self.lease_ms, self.boot = name, keepers, lease_ms, boot
         self.promised, self.entry = (disk.promised, disk.entry) if disk is not None else (0, Entry())
--- a/sageweir/cluster/changes/service.py
+++ b/sageweir/cluster/changes/service.py
@@ -177,8 +177,14 @@
 class Changes:
     """The duty `changer`, as a Work of the duties, and every member's side of it."""
 
-    def __init__(self, fleet: Fleet, exchange: Exchange, config: ClusterConfig, changes: ChangesConfig,
-                 others: Iterable[Other] = ()) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        exchange: Exchange,
+        config: ClusterConfig,
+        changes: ChangesConfig,
+        others: Iterable[Other] = (),
+    ) -> None:
         """Raises ConfigError where the disk can't be had."""
         self.program = Program(fleet, changes.permit_ms)
         self.others: dict[str, Other] = {one.name: one for one in (*others, self.program)}
@@ -197,13 +203,27 @@
         electors = tuple(config.electors)
         self.keeper: Keeper | None = None
         self._electors(electors)
-        self.bounds = Bounds(changes.window_ms, changes.least_ms, changes.longest_ms, changes.least_calls,
-                             changes.block_ms, changes.settle_ms, soak_ms=changes.soak_ms, margin=changes.margin)
+        self.bounds = Bounds(
+            changes.window_ms,
+            changes.least_ms,
+            changes.longest_ms,
+            changes.least_calls,
+            changes.block_ms,
+            changes.settle_ms,
+            soak_ms=changes.soak_ms,
+            margin=changes.margin,
+        )
         self.tally = Tally(self._settings, exchange.clock.now, self._sent, self._took)
         exchange.watch = self.tally
         writer = Writer(self.me.name, electors, config.lease_ms, self.draw.getrandbits(40))
-        self.engine = Engine(self.me.name, writer, Terms(changes.permit_ms, config.drift), self.bounds, self._gate,
-                             Random(self.draw.getrandbits(60)))
+        self.engine = Engine(
+            self.me.name,
+            writer,
+            Terms(changes.permit_ms, config.drift),
+            self.bounds,
+            self._gate,
+            Random(self.draw.getrandbits(60)),
+        )
         self.engine.compares = max((one.compares for one in self.others.values()), default=0)
         self.follower = Follower(frozenset({RULES, *self.others}), self.disk.known)
         for name, data in self.disk.blobs.items():
@@ -296,15 +316,41 @@
                 self._tell(sender, Answered(text))
         names = sorted(plan.allowed(book.stage)) if plan is not None else []
         names += ["*"] if self.engine.newcomers else []  # and members that the plan does not know
-        log.info("change=%d kind=%s phase=%s stage=%d on=%s members=%d why=%r", book.number, book.kind,
-                 book.phase.value, book.stage, str(book.on).lower(), len(names), book.why)
-        self._row("book", step=book.step, number=book.number, floor=book.floor, phase=book.phase.value,
-                  stage=book.stage, on=book.on, allowed=names, why=book.why,
-                  proven={one.kind: [one.number, one.digest] for one in book.proven})
+        log.info(
+            "change=%d kind=%s phase=%s stage=%d on=%s members=%d why=%r",
+            book.number,
+            book.kind,
+            book.phase.value,
+            book.stage,
+            str(book.on).lower(),
+            len(names),
+            book.why,
+        )
+        self._row(
+            "book",
+            step=book.step,
+            number=book.number,
+            floor=book.floor,
+            phase=book.phase.value,
+            stage=book.stage,
+            on=book.on,
+            allowed=names,
+            why=book.why,
+            proven={one.kind: [one.number, one.digest] for one in book.proven},
+        )
 
     def _row(self, did: str, **more: object) -> None:
-        self.fleet.keep({"me": self.me.name, "boot": self.me.boot, "duty": DUTY, "do": did, "term": 0,
-                         "real_ms": time.monotonic() * 1000, **more})
+        self.fleet.keep(
+            {
+                "me": self.me.name,
+                "boot": self.me.boot,
+                "duty": DUTY,
+                "do": did,
+                "term": 0,
+                "real_ms": time.monotonic() * 1000,
+                **more,
+            }
+        )
 
     def _acts(self) -> int | None:
         return self.fleet.duties.acts(DUTY) if self.fleet.duties is not None else None
@@ -315,8 +361,7 @@
         listed = [view for view in module.servers.values() if view.listed()]
         cold = sum(view.warmth(module.settings, unix) < 1 for view in listed)
         silent = sum(view.bad > 0 and bool(view.pending()) for view in listed)
-        return Seen(self.fleet.view.size.settled, members, len(listed), cold, silent, 0,
-                    self.engine.fleet_trouble(now))
+        return Seen(self.fleet.view.size.settled, members, len(listed), cold, silent, 0, self.engine.fleet_trouble(now))
 
     # The duty
 
@@ -350,11 +395,21 @@
             return None  # it does not know yet what it runs: to say `nothing` would hide a crash
         told = [one.has(follower.number) for one in self.others.values()]
         has = next((one for one in told if one is not None), follower.has)
-        return msgspec.msgpack.encode(Report(
-            self.me.boot, has, follower.number, follower.known.floor, int(max(0.0, now - self.began)),
-            self.tally.report(), memory_kb(), self.fleet.view.stalls,
-            next((why for why in (follower.why, *(one.why() for one in self.others.values())) if why), "")[:160],
-            next((some for one in self.others.values() if (some := one.agreed())), ()), OWN))
+        return msgspec.msgpack.encode(
+            Report(
+                self.me.boot,
+                has,
+                follower.number,
+                follower.known.floor,
+                int(max(0.0, now - self.began)),
+                self.tally.report(),
+                memory_kb(),
+                self.fleet.view.stalls,
+                next((why for why in (follower.why, *(one.why() for one in self.others.values())) if why), "")[:160],
+                next((some for one in self.others.values() if (some := one.agreed())), ()),
+                OWN,
+            )
+        )
 
     def wanted(self, now: float, member: str, state: bytes) -> bytes | None:
         report = _read(state, Report)
@@ -392,8 +447,9 @@
     def _tell(self, to: str, body: Body) -> None:
         if (duties := self.fleet.duties) is not None and not self._over:
             kind = self.fleet.point(f"send {type(body).__name__}")
-            points.send(kind, lambda: duties.tell(DUTY, to, _encode(body)),
-                        partial(self.clock.after, 2 * self.lease_ms))
+            points.send(
+                kind, lambda: duties.tell(DUTY, to, _encode(body)), partial(self.clock.after, 2 * self.lease_ms)
+            )
 
     def aside(self, now: float, sender: str, data: bytes) -> None:
         """Another member's word."""
@@ -438,8 +494,9 @@
             return
         kept = self.keeper.kept()
         record = Kept2(kept.promised, *kept.entry.rank, kept.entry.body)
-        self._write(record, lambda: self._tell(to, held),
-                    lambda why: log.warning("the keeper keeps silent: why=%s", why))
+        self._write(
+            record, lambda: self._tell(to, held), lambda why: log.warning("the keeper keeps silent: why=%s", why)
+        )
 
     def _write(self, record: Record, then: Callable[[], None], failed: Callable[[str], None]) -> None:
         if self._over:
@@ -468,8 +525,11 @@
     # Contents
 
     def _page(self, name: bytes) -> bytes:
-        return self.disk.blobs.get(name.removeprefix(PAGE).decode("ascii", "replace"), b"") \
-            if name.startswith(PAGE) else b""
+        return (
+            self.disk.blobs.get(name.removeprefix(PAGE).decode("ascii", "replace"), b"")
+            if name.startswith(PAGE)
+            else b""
+        )
 
     def _fetch(self, kind: str, name: str, where: str = "") -> None:
         """From the holder, an elector, or whoever asked for it; tried again when it is wanted again."""
@@ -493,8 +553,11 @@
         if digest(data) != name:
             log.warning("a content was dropped: name=%s why=it is another", name)
             return
-        self._write(Blob(name, data), lambda: self._have(kind, name, data),
-                    lambda why: self._do(self.follower.spoilt(self.clock.now(), kind, name, f"{DISK}{why}")))
+        self._write(
+            Blob(name, data),
+            lambda: self._have(kind, name, data),
+            lambda why: self._do(self.follower.spoilt(self.clock.now(), kind, name, f"{DISK}{why}")),
+        )
 
     def _check(self, name: str, data: bytes) -> str:
         """Whether a content is rules that can be taken here; why not, else nothing. Plans are for the engine."""
@@ -658,8 +721,11 @@
             return f"not proposed: {why}"
         data = encode_plan(plan)
         name = digest(data)
-        self._write(Blob(name, data), lambda: self.engine.begin(name, plan, asked.kind, asked.digest),
-                    lambda why: self._tell(sender, Answered(f"not proposed, the holder's disk: {why}"[:300])))
+        self._write(
+            Blob(name, data),
+            lambda: self.engine.begin(name, plan, asked.kind, asked.digest),
+            lambda why: self._tell(sender, Answered(f"not proposed, the holder's disk: {why}"[:300])),
+        )
         self._proposer = sender, plan.number, f"change {plan.number} is proposed: {len(plan.stages)} stages"
         return f"change {plan.number} is taken up, and {NOT_YET}"
 
@@ -678,15 +744,26 @@
         """For operators."""
         follower = self.follower
         found: dict[str, Any] = {
-            "rules": self.rules.version, "unproven": follower.has, "floor": follower.known.floor,
-            "proven": {one.kind: [one.number, one.digest] for one in follower.known.proven}, "latest": follower.number,
+            "rules": self.rules.version,
+            "unproven": follower.has,
+            "floor": follower.known.floor,
+            "proven": {one.kind: [one.number, one.digest] for one in follower.known.proven},
+            "latest": follower.number,
             **{one.name: one.show() for one in self.others.values() if one.name == PROGRAM},
-            "why_not": follower.why, "told": self.told, "holder": None, "phase": "", "why": ""}
+            "why_not": follower.why,
+            "told": self.told,
+            "holder": None,
+            "phase": "",
+            "why": "",
+        }
         if self.news is not None:
             found |= {"phase": self.news.phase.value, "why": self.news.why, "form": self.news.form}
         if self.keeper is not None:
-            found["keeper"] = {"takes_part": self.keeper.intact, "promised": self.keeper.promised,
-                               "entry": list(self.keeper.entry.rank)}
+            found["keeper"] = {
+                "takes_part": self.keeper.intact,
+                "promised": self.keeper.promised,
+                "entry": list(self.keeper.entry.rank),
+            }
         if self.engine.holding:
             found["holder"] = dict(self.engine.show())
         return found
--- a/sageweir/cluster/changes/tally.py
+++ b/sageweir/cluster/changes/tally.py
@@ -30,8 +30,13 @@
 class Tally:
     """An exchange's watch. now: ms; sent: told of each attempt's call and the rules that it was decided under."""
 
-    def __init__(self, settings: api.Settings, now: Callable[[], float], sent: Callable[[str, int], None],
-                 took: Callable[[Request], None] | None = None) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        now: Callable[[], float],
+        sent: Callable[[str, int], None],
+        took: Callable[[Request], None] | None = None,
+    ) -> None:
         """took: told of each set-up that comes."""
         self.now, self.sent, self.took = now, sent, took
         self.aims = {one.name: one.aim_ms for one in settings.classes}
--- a/sageweir/cluster/duties/change.py
+++ b/sageweir/cluster/duties/change.py
@@ -45,10 +45,16 @@
             return []
         self.tries += 1
         if not self.chosen:
-            return [(name, Propose(self.version, self.new, self.number)) for name in self.old
-                    if name not in self.accepted and name not in self.refused]
-        return [(name, Commit(self.version, self.new, self.number)) for name in {**self.old, **self.new}
-                if name not in self.installed]
+            return [
+                (name, Propose(self.version, self.new, self.number))
+                for name in self.old
+                if name not in self.accepted and name not in self.refused
+            ]
+        return [
+            (name, Commit(self.version, self.new, self.number))
+            for name in {**self.old, **self.new}
+            if name not in self.installed
+        ]
 
     def answered(self, message: Accepted) -> list[tuple[str, Message]]:
         """An elector's answer."""
--- a/sageweir/cluster/duties/elector.py
+++ b/sageweir/cluster/duties/elector.py
@@ -68,8 +68,17 @@
 class Elector:
     """Messages in, answers out. Each answer to an Ask that granted must wait until `kept` is written."""
 
-    def __init__(self, name: str, electors: tuple[str, ...], timing: Timing, now: float, boot: int,
-                 disk: Mapping[str, int] | None = None, version: int = 1, origin: int = 0) -> None:
+    def __init__(
+        self,
+        name: str,
+        electors: tuple[str, ...],
+        timing: Timing,
+        now: float,
+        boot: int,
+        disk: Mapping[str, int] | None = None,
+        version: int = 1,
+        origin: int = 0,
+    ) -> None:
         """boot: drawn anew at each start; disk: terms found there, which may be old, None where nothing can be read.
 
         origin: seconds of Unix time at the start, or 0. It only ever raises terms, where nobody remembers them.
@@ -170,8 +179,13 @@
         bound = promise.seeker != "" and now < promise.until
         fits = ask.term > promise.term or (mine and ask.term == promise.term and bound and not promise.next)
         kept_for = bound and promise.next == ask.seeker
-        granted = (self.intact and ask.version >= self.version and fits and (not bound or mine or kept_for)
-                   and not (mine and promise.next and bound))
+        granted = (
+            self.intact
+            and ask.version >= self.version
+            and fits
+            and (not bound or mine or kept_for)
+            and not (mine and promise.next and bound)
+        )
         if granted and not ask.dry:
             promise.renewed = mine and ask.term == promise.term
             promise.term, promise.seeker, promise.boot, promise.next = ask.term, ask.seeker, ask.boot, ""
@@ -180,8 +194,17 @@
         wait = self._queued(now, promise, ask.seeker) if bound and not mine else 0.0
         if not self.intact:
             wait = max(wait, self.out_until - now, 0.0)
-        return Say(ask.duty, ask.term, self.name, ask.number, granted, promise.term, wait,
-                   promise.next or promise.seeker if bound else "", self.version)
+        return Say(
+            ask.duty,
+            ask.term,
+            self.name,
+            ask.number,
+            granted,
+            promise.term,
+            wait,
+            promise.next or promise.seeker if bound else "",
+            self.version,
+        )
 
     def _queued(self, now: float, promise: Promise, seeker: str) -> float:
         """How long one should wait: to the end of the promise, and a little for each that asked before it."""
--- a/sageweir/cluster/duties/messages.py
+++ b/sageweir/cluster/duties/messages.py
@@ -179,8 +179,24 @@
     data: Annotated[bytes, Meta(max_length=1120)]
 
 
-Message = (Ask | Say | Free | Recall | Memory | Hand | Notice | Want | Part | Above | Wish | Propose | Accepted | Commit
-           | Lists | Aside)
+Message = (
+    Ask
+    | Say
+    | Free
+    | Recall
+    | Memory
+    | Hand
+    | Notice
+    | Want
+    | Part
+    | Above
+    | Wish
+    | Propose
+    | Accepted
+    | Commit
+    | Lists
+    | Aside
+)
 
 
 class Letter(msgspec.Struct, frozen=True, gc=False, array_like=True):
--- a/sageweir/cluster/duties/seeker.py
+++ b/sageweir/cluster/duties/seeker.py
@@ -43,8 +43,17 @@
 class Seeker:
     """One duty. Each method gives what is to be sent; due() says when to call wake()."""
 
-    def __init__(self, duty: str, name: str, boot: int, electors: tuple[str, ...], timing: Timing, draw: Random,
-                 version: int = 1, wants: bool = True) -> None:
+    def __init__(
+        self,
+        duty: str,
+        name: str,
+        boot: int,
+        electors: tuple[str, ...],
+        timing: Timing,
+        draw: Random,
+        version: int = 1,
+        wants: bool = True,
+    ) -> None:
         self.duty, self.name, self.boot, self.electors = duty, name, boot, electors
         self.timing, self.draw, self.version, self.wants = timing, draw, version, wants
         self.stage, self.term, self.until, self.seen = Stage.IDLE, 0, NEVER, 0
@@ -193,7 +202,7 @@
             self._at = now + self.timing.lease_ms / 60
             return self._free("") if asked else []
         # Where another holds it, soon after that one's lease would end; else later the more tries were in vain.
-        spread = FIRST * 2 ** self.failures * self.timing.lease_ms
+        spread = FIRST * 2**self.failures * self.timing.lease_ms
         self._at = now + (0.0 if asked else waits) + self.draw.uniform(0.1, 1.0) * spread
         return self._free("") if asked else []
 
--- a/sageweir/cluster/duties/service.py
+++ b/sageweir/cluster/duties/service.py
@@ -123,10 +123,19 @@
     names; audit: takes rows of what was done.
     """
 
-    def __init__(self, clock: Clock, limits: Limits, config: ClusterConfig, me: Self, works: Mapping[str, Work],
-                 send: Callable[[str, int, bytes], None], find: Callable[[str], tuple[str, int] | None],
-                 living: Callable[[], list[str]], audit: Callable[[dict[str, object]], None],
-                 point: Point = no_point) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limits: Limits,
+        config: ClusterConfig,
+        me: Self,
+        works: Mapping[str, Work],
+        send: Callable[[str, int, bytes], None],
+        find: Callable[[str], tuple[str, int] | None],
+        living: Callable[[], list[str]],
+        audit: Callable[[dict[str, object]], None],
+        point: Point = no_point,
+    ) -> None:
         """point: told of each send, receipt and write. Raises ConfigError where the electors' file can't be had."""
         self.point = point
         self.clock, self.limits, self.me, self.draw = clock, limits, me, Random(me.boot)
@@ -147,9 +156,21 @@
         self.fence = Fence()
         self.holders: dict[str, tuple[str, int, float]] = {}  # by duty: who said last that it holds it: term, when
         self.whys: dict[str, str] = {}  # and how it came to
-        self.held = {duty: Held(Seeker(duty, me.name, me.boot, tuple(self.places), self.timing,
-                                       Random(self.draw.getrandbits(60)), self.version), work)
-                     for duty, work in works.items()}
+        self.held = {
+            duty: Held(
+                Seeker(
+                    duty,
+                    me.name,
+                    me.boot,
+                    tuple(self.places),
+                    self.timing,
+                    Random(self.draw.getrandbits(60)),
+                    self.version,
+                ),
+                work,
+            )
+            for duty, work in works.items()
+        }
         self.change: ListChange | None = None
         self.told = ""  # of the last change of electors
         self.unreadable = self.refused = self.sent = 0
@@ -171,8 +192,16 @@
         return folder / f"elector-{name}"
 
     def _become(self, now: float, kept: Kept | None) -> None:
-        self.elector = Elector(self.me.name, tuple(self.places), self.timing, now, self.me.boot,
-                               kept.terms if kept is not None else None, self.version, int(time.time()))
+        self.elector = Elector(
+            self.me.name,
+            tuple(self.places),
+            self.timing,
+            now,
+            self.me.boot,
+            kept.terms if kept is not None else None,
+            self.version,
+            int(time.time()),
+        )
         if kept is not None and kept.accepted is not None:
             self.elector.accepted = (kept.accepted[0], frozenset(kept.accepted[1]))
             self._next = dict(kept.accepted[1])
@@ -180,8 +209,12 @@
     def start(self) -> None:
         """Begin to look for duties."""
         now = self.clock.now()
-        log.info("duties: electors=%s version=%d elector=%s", ",".join(self.places), self.version,
-                 str(self.elector is not None).lower())
+        log.info(
+            "duties: electors=%s version=%d elector=%s",
+            ",".join(self.places),
+            self.version,
+            str(self.elector is not None).lower(),
+        )
         for held in self.held.values():
             held.seeker.start(now)
         self._look()
@@ -306,8 +339,16 @@
         if why := self.fence.admits(duty, term):
             self.refused += 1
             log.warning("an act was refused: from=%s why=%s", holder, why)
-            self._row(duty, "refused", term, real_ms=looked, by=holder, of_boot=boot, count=count,
-                      highest=self.fence.highest[duty])
+            self._row(
+                duty,
+                "refused",
+                term,
+                real_ms=looked,
+                by=holder,
+                of_boot=boot,
+                count=count,
+                highest=self.fence.highest[duty],
+            )
             return False
         self._row(duty, "took", term, real_ms=looked, by=holder, of_boot=boot, count=count)
         self.holders[duty] = (holder, term, self.clock.now())
@@ -329,8 +370,9 @@
             log.warning("a letter was dropped: from=%s:%s why=%s", sender[0], sender[1], error)
             return
         if letter.fleet != self.me.fleet or letter.to != self.me.name:
-            log.warning("a letter was dropped: from=%s:%s why=it is for %s of %s", sender[0], sender[1], letter.to,
-                        letter.fleet)
+            log.warning(
+                "a letter was dropped: from=%s:%s why=it is for %s of %s", sender[0], sender[1], letter.to, letter.fleet
+            )
             return
         self._take(letter)
         self._schedule()
@@ -348,8 +390,14 @@
             case Ask() if elector is not None and self._known(elector.promises, body.duty):
                 say = elector.ask(now, body)
                 if say.granted and not body.dry:
-                    self._row(body.duty, "granted", body.term, to=body.seeker, to_boot=body.boot,
-                              real_ms=time.monotonic() * 1000)
+                    self._row(
+                        body.duty,
+                        "granted",
+                        body.term,
+                        to=body.seeker,
+                        to_boot=body.boot,
+                        real_ms=time.monotonic() * 1000,
+                    )
                     self._write(lambda: back(say))
                 else:
                     back(say)
@@ -619,19 +667,33 @@
             _, term, at = self.holders.get(duty, ("", 0, 0.0))
             mine = held.seeker.holds(now)
             duties[duty] = {
-                "holder": self.holder(duty), "term": mine if mine is not None else term or None,
+                "holder": self.holder(duty),
+                "term": mine if mine is not None else term or None,
                 "said_ms_ago": None if mine is not None or not term else round(now - at),
-                "here": held.seeker.stage.value, "why_here": held.seeker.why,
-                "why": held.seeker.why if mine is not None else self.whys.get(duty, ""), "acts": held.count,
-                "fence": self.fence.highest.get(duty, 0), "seen": held.seeker.seen,
-                "work": held.work.show(now)}
+                "here": held.seeker.stage.value,
+                "why_here": held.seeker.why,
+                "why": held.seeker.why if mine is not None else self.whys.get(duty, ""),
+                "acts": held.count,
+                "fence": self.fence.highest.get(duty, 0),
+                "seen": held.seeker.seen,
+                "work": held.work.show(now),
+            }
         found: dict[str, Any] = {
-            "duties": duties, "electors": self.places, "electors_version": self.version, "electors_told": self.told,
-            "lease_ms": self.timing.lease_ms, "acts_refused": self.refused, "letters_sent": self.sent,
-            "letters_unreadable": self.unreadable, "elector": None}
+            "duties": duties,
+            "electors": self.places,
+            "electors_version": self.version,
+            "electors_told": self.told,
+            "lease_ms": self.timing.lease_ms,
+            "acts_refused": self.refused,
+            "letters_sent": self.sent,
+            "letters_unreadable": self.unreadable,
+            "elector": None,
+        }
         if elector is not None:
             found["elector"] = {
-                "takes_part": elector.intact, "terms": self._terms(),
+                "takes_part": elector.intact,
+                "terms": self._terms(),
                 "bound_to": {d: p.next or p.seeker for d, p in elector.promises.items() if p.until > elector.time},
-                "writes": self.store.writes}
+                "writes": self.store.writes,
+            }
         return found
--- a/sageweir/cluster/duties/warden.py
+++ b/sageweir/cluster/duties/warden.py
@@ -83,8 +83,11 @@
 
     def out(self, now: float, but: str = "") -> float:
         """The most that can be in use now, of all members but one. A member goes by one of its parts at a time."""
-        self.lent = {member: left for member, parts in self.lent.items()
-                     if (left := [part for part in parts if part.until > now])}
+        self.lent = {
+            member: left
+            for member, parts in self.lent.items()
+            if (left := [part for part in parts if part.until > now])
+        }
         return sum(max(part.rate for part in parts) for member, parts in self.lent.items() if member != but)
 
     def budget(self, now: float, takes: float) -> float:
@@ -147,13 +150,17 @@
         return tuple(given)
 
     def _forget(self, now: float) -> None:
-        self.ledgers = {key: ledger for key, ledger in self.ledgers.items()
-                        if ledger.out(now) > 0 or ledger.budget(now, 0.0) > 0}
+        self.ledgers = {
+            key: ledger for key, ledger in self.ledgers.items() if ledger.out(now) > 0 or ledger.budget(now, 0.0) > 0
+        }
 
     def over(self, now: float) -> list[str]:
         """Servers of which more is out than their budget was when it was given; for checks, there must be none."""
-        return [server for (server, _), ledger in self.ledgers.items()
-                if ledger.out(now) > sum(told.own for told in ledger.told.values()) + 1e-9]
+        return [
+            server
+            for (server, _), ledger in self.ledgers.items()
+            if ledger.out(now) > sum(told.own for told in ledger.told.values()) + 1e-9
+        ]
 
 
 def encode(what: Asks | Sequence[Given]) -> bytes:
--- a/sageweir/cluster/duties/wire.py
+++ b/sageweir/cluster/duties/wire.py
@@ -25,6 +25,6 @@
     if len(data) > DATAGRAM_BYTES or not data.startswith(HEAD):
         raise Unreadable("another form, or too long")
     try:
-        return _decoder.decode(memoryview(data)[len(HEAD):])
+        return _decoder.decode(memoryview(data)[len(HEAD) :])
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise Unreadable(str(error)[:120]) from None
--- a/sageweir/cluster/duties/works.py
+++ b/sageweir/cluster/duties/works.py
@@ -64,14 +64,17 @@
     def _cold(self) -> list[tuple[ServerView, float]]:
         """Cold servers, with how warm they are."""
         module, unix = self.exchange.controller, self.exchange.clock.now()
-        return [(view, warmth) for view in module.servers.values()
-                if view.listed() and (warmth := view.warmth(module.settings, unix)) < 1]
+        return [
+            (view, warmth)
+            for view in module.servers.values()
+            if view.listed() and (warmth := view.warmth(module.settings, unix)) < 1
+        ]
 
     def want(self, now: float) -> bytes | None:
         self.began = now if self.began is None else self.began
         module = self.exchange.controller
         cold_part, asks = module.version.rules.cold_part, []
-        for view, warmth in self._cold()[:warden.SERVERS_MAX]:
+        for view, warmth in self._cold()[: warden.SERVERS_MAX]:
             takes = cold_part * view.max_rate if view.max_rate < float("inf") else 0.0
             own = module.ramp(view, warmth, cold_part)
             asks.append(warden.Ask(view.entry.name, view.entry.started_ms, own, takes))
@@ -98,8 +101,11 @@
                 self.exchange.tell(api.ColdPart(one.server, one.rate, left))
 
     def show(self, now: float) -> dict[str, Any]:
-        return {"parts_given": self.given, "parts_had": self.had, "out": {
-            server: round(ledger.out(now), 2) for (server, _), ledger in self.warden.ledgers.items()}}
+        return {
+            "parts_given": self.given,
+            "parts_had": self.had,
+            "out": {server: round(ledger.out(now), 2) for (server, _), ledger in self.warden.ledgers.items()},
+        }
 
 
 class Prober(Plain):
@@ -110,9 +116,12 @@
         self.told = 0
 
     def want(self, now: float) -> bytes | None:
-        bad = tuple(prober.Bad(name, view.entry.started_ms) for name, view in self.exchange.controller.servers.items()
-                    if view.bad and view.listed())
-        return prober.encode(bad[:prober.SERVERS_MAX]) if bad else None
+        bad = tuple(
+            prober.Bad(name, view.entry.started_ms)
+            for name, view in self.exchange.controller.servers.items()
+            if view.bad and view.listed()
+        )
+        return prober.encode(bad[: prober.SERVERS_MAX]) if bad else None
 
     def wanted(self, now: float, member: str, state: bytes) -> bytes | None:
         self.prober.reported(now, member, prober.decode_bad(state))
@@ -143,11 +152,16 @@
                 self.exchange.tell(api.Probed(one.server, one.silent, unix - one.age_ms))
 
     def show(self, now: float) -> dict[str, Any]:
-        return {"tests": self.prober.tests, "told_the_module": self.told,
-                "silent": [one.server for one in self.prober.outcomes(now) if one.silent]}
+        return {
+            "tests": self.prober.tests,
+            "told_the_module": self.told,
+            "silent": [one.server for one in self.prober.outcomes(now) if one.silent],
+        }
 
 
 def works_of(exchange: Exchange, fleet: Fleet) -> dict[str, Work]:
     """The duties that a session controller is a candidate for."""
-    return {warden.DUTY: ColdWarden(exchange, fleet.config.drift),
-            prober.DUTY: Prober(exchange, Random(fleet.view.me.boot))}
+    return {
+        warden.DUTY: ColdWarden(exchange, fleet.config.drift),
+        prober.DUTY: Prober(exchange, Random(fleet.view.me.boot)),
+    }
--- a/sageweir/cluster/join.py
+++ b/sageweir/cluster/join.py
@@ -12,8 +12,9 @@
 from sageweir.limits import Limits
 
 
-def join(loop: asyncio.AbstractEventLoop, limits: Limits, config: ClusterConfig, name: str,
-         exchange: Exchange) -> Fleet:
+def join(
+    loop: asyncio.AbstractEventLoop, limits: Limits, config: ClusterConfig, name: str, exchange: Exchange
+) -> Fleet:
     """A member that is not started yet. Raises ConfigError."""
     clock: Clock = MonotonicClock(loop)
     if config.faults is not None:
--- a/sageweir/cluster/ledger/account.py
+++ b/sageweir/cluster/ledger/account.py
@@ -55,7 +55,7 @@
             if row != Row():
                 fresh[key] = row
         if len(fresh) > self.keys_max:
-            kept = sorted(fresh, key=lambda key: (fresh[key].standing, fresh[key].tried, key))[-self.keys_max:]
+            kept = sorted(fresh, key=lambda key: (fresh[key].standing, fresh[key].tried, key))[-self.keys_max :]
             fresh = {key: fresh[key] for key in kept}
         changed = tuple(sorted(key for key in {*fresh, *self.rows} if fresh.get(key) != self.rows.get(key)))
         if changed:
@@ -75,4 +75,4 @@
 def pages(rows: Rows, most: int = ROWS_PAGE) -> list[Rows]:
     """In parts that fit a message; one at least."""
     items = list(rows.items())
-    return [dict(items[i:i + most]) for i in range(0, len(items), most)] or [{}]
+    return [dict(items[i : i + most]) for i in range(0, len(items), most)] or [{}]
--- a/sageweir/cluster/ledger/owner.py
+++ b/sageweir/cluster/ledger/owner.py
@@ -51,7 +51,7 @@
     """One result of several shards'."""
     lines = [line for part in parts for line in part]
     if question.kind == BUSIEST:
-        return tuple(sorted(lines, key=rank)[:question.most])
+        return tuple(sorted(lines, key=rank)[: question.most])
     sums: dict[str, Sum] = {}
     for line in lines:
         sums[line.key] = _plus(sums.get(line.key, ZERO), (line.standing, line.tried, line.busy))
@@ -186,8 +186,13 @@
     def ask(self, now: float, ask: Ask, living: Mapping[str, int]) -> Reply:
         """Answer, or say that it can't be told."""
         self.prune(living)
-        missing = tuple(sorted(name for name in living if name not in self.books
-                               or not 0 <= now - self.books[name].heard < self.fresh_ms))
+        missing = tuple(
+            sorted(
+                name
+                for name in living
+                if name not in self.books or not 0 <= now - self.books[name].heard < self.fresh_ms
+            )
+        )
         if ask.question is None:
             return Reply(True, (), self.vector(), missing)
         overlay: dict[str, Sum] | None = {}
@@ -236,8 +241,9 @@
         # The busiest: as many of the index as may be pushed down by the overlay, and all that it touches.
         keys = {key for _, _, key in self._busiest.islice(0, question.most + len(overlay) + self._tenants())}
         lines = (Found(key, *self._at(key, overlay)) for key in keys | set(overlay) if key.startswith("n:"))
-        return tuple(sorted((line for line in lines if line.standing or line.tried or line.busy), key=rank)[
-            :question.most])
+        return tuple(
+            sorted((line for line in lines if line.standing or line.tried or line.busy), key=rank)[: question.most]
+        )
 
     def _tenants(self) -> int:
         """How many keys of tenants may stand among the busiest."""
--- a/sageweir/cluster/ledger/reading.py
+++ b/sageweir/cluster/ledger/reading.py
@@ -64,8 +64,9 @@
     replies: dict[int, Reply | None] = field(default_factory=dict)
 
     def start(self) -> Out:
-        return [(i, shard.owners[0], Ask(shard.first, shard.last, self.question))
-                for i, shard in enumerate(self.shards)]
+        return [
+            (i, shard.owners[0], Ask(shard.first, shard.last, self.question)) for i, shard in enumerate(self.shards)
+        ]
 
     def answered(self, number: int, reply: Reply | None) -> Out:
         """None: nothing came in time."""
@@ -87,9 +88,12 @@
             return None
         here = {self.shards[i].first: reply for i, reply in self.replies.items() if reply is not None}
         missing = {name for reply in here.values() for name in reply.missing}
-        return Answer(merge(self.question, (reply.found for reply in here.values())),
-                      {first: reply.vector for first, reply in here.items()}, tuple(sorted(missing)),
-                      len(here) == len(self.shards))
+        return Answer(
+            merge(self.question, (reply.found for reply in here.values())),
+            {first: reply.vector for first, reply in here.items()},
+            tuple(sorted(missing)),
+            len(here) == len(self.shards),
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,8 +116,12 @@
         self.question, self.group, self.living = question, group, frozenset(living)
         old, new = asked_of(question, group.old), asked_of(question, group.new)
         # Each owner of each shard is asked: a copy that differs is found as well as a shard that does.
-        self.asked = [(side, shard, owner) for side, shards in (("old", old), ("new", new)) for shard in shards
-                      for owner in shard.owners]
+        self.asked = [
+            (side, shard, owner)
+            for side, shards in (("old", old), ("new", new))
+            for shard in shards
+            for owner in shard.owners
+        ]
         self.vector: Vector | None = None
         self.replies: dict[int, Reply] = {}
         self.compared: Compared | None = None
@@ -152,8 +160,10 @@
             self.compared = Compared(self.question, Verdict.OTHER, "the sides have no member in common")
             return []
         self.vector, self.replies = common, {}
-        return [(len(self.asked) + i, owner, Ask(shard.first, shard.last, self.question, common))
-                for i, (_, shard, owner) in enumerate(self.asked)]
+        return [
+            (len(self.asked) + i, owner, Ask(shard.first, shard.last, self.question, common))
+            for i, (_, shard, owner) in enumerate(self.asked)
+        ]
 
     def _compare(self) -> Compared:
         assert self.vector is not None
@@ -165,15 +175,24 @@
                     by_shard.setdefault(shard.first, []).append(self.replies[i].found)
             # Every choice of one copy of each shard: the first of all, the second of all, and so on.
             copies = max(map(len, by_shard.values()))
-            results[side] = [merge(self.question, (found[min(n, len(found) - 1)] for found in by_shard.values()))
-                             for n in range(copies)]
+            results[side] = [
+                merge(self.question, (found[min(n, len(found) - 1)] for found in by_shard.values()))
+                for n in range(copies)
+            ]
         full = set(self.vector) >= self.living
         old, new = results["old"][0], results["new"][0]
         odd = next((one for one in results["old"] + results["new"] if one != old), None)
         if odd is None:
             return Compared(self.question, Verdict.AGREE, "", full, old, new, self.vector)
-        return Compared(self.question, Verdict.DISAGREE, "equal vectors, other results", full, old,
-                        new if new != old else odd, self.vector)
+        return Compared(
+            self.question,
+            Verdict.DISAGREE,
+            "equal vectors, other results",
+            full,
+            old,
+            new if new != old else odd,
+            self.vector,
+        )
 
 
 def holding(old: ShardMap, new: ShardMap | None, before: ShardMap | None) -> list[Shard]:
--- a/sageweir/cluster/ledger/sender.py
+++ b/sageweir/cluster/ledger/sender.py
@@ -32,8 +32,9 @@
 class Sender:
     """again_ms: a page that is not answered by then is sent again; beat_ms: an owner hears that often at least."""
 
-    def __init__(self, member: str, boot: int, account: Account, again_ms: float, beat_ms: float,
-                 page_rows: int = ROWS_PAGE) -> None:
+    def __init__(
+        self, member: str, boot: int, account: Account, again_ms: float, beat_ms: float, page_rows: int = ROWS_PAGE
+    ) -> None:
         self.member, self.boot, self.account, self.page_rows = member, boot, account, page_rows
         self.again_ms, self.beat_ms = again_ms, beat_ms
         self.progress: dict[Target, Progress] = {}
@@ -56,8 +57,9 @@
                 one.seq, one.out, one.page = self.account.seq, pages(rows, self.page_rows), 0
                 one.count = len(one.out)
             one.sent_at, one.waits = now, True
-            found.append((owner, Give(self.member, self.boot, first, last, one.base, one.seq, one.page, one.count,
-                                      one.out[0])))
+            found.append(
+                (owner, Give(self.member, self.boot, first, last, one.base, one.seq, one.page, one.count, one.out[0]))
+            )
         return found
 
     def got(self, owner: str, give: Give, got: Got) -> None:
--- a/sageweir/cluster/ledger/service.py
+++ b/sageweir/cluster/ledger/service.py
@@ -94,7 +94,7 @@
     # A kind of change
 
     def owns(self, data: bytes) -> bool:
-        return b'"shards"' in data[:64 * 1024]
+        return b'"shards"' in data[: 64 * 1024]
 
     def check(self, data: bytes) -> str:
         try:
@@ -120,8 +120,7 @@
             self.proven, self.number, self.coming = shards, act.number, None
             self.watch.end()
         self._targets()
-        log.info("shards: change=%d shards=%d proven=%s", act.number, len(shards.shards),
-                 str(not act.unproven).lower())
+        log.info("shards: change=%d shards=%d proven=%s", act.number, len(shards.shards), str(not act.unproven).lower())
         points.passed(kind)
 
     def agreed(self) -> tuple[int, ...]:
@@ -185,7 +184,7 @@
         if not name.startswith(PAGE):
             return self._pages(name) if self._pages is not None else b""
         try:
-            body = _decode(name[len(PAGE):])
+            body = _decode(name[len(PAGE) :])
         except msgspec.MsgspecError as error:
             log.warning("a word of the ledger was dropped: why=%s", str(error)[:120])
             return b""
@@ -295,8 +294,12 @@
                 continue
             dual = DualRead(question, group, living)
             self._reads += 1
-            self._drive(dual, dual.start(), lambda dual=dual: dual.compared is not None,  # type: ignore[misc]
-                        partial(self._compared, number, dual))
+            self._drive(
+                dual,
+                dual.start(),
+                lambda dual=dual: dual.compared is not None,  # type: ignore[misc]
+                partial(self._compared, number, dual),
+            )
 
     def _compared(self, number: int, dual: DualRead) -> None:
         compared = dual.compared
@@ -307,13 +310,37 @@
 
     def _disagree(self, number: int, compared: Compared) -> None:
         question = compared.question
-        row = {"change": number, "map": self.number, "at": time.time(), "kind": question.kind, "what": question.what,
-               "most": question.most, "why": compared.why, "old": _plain(compared.old), "new": _plain(compared.new),
-               "vector": {name: [stamp.boot, stamp.seq] for name, stamp in compared.vector.items()}}
-        log.error("a disagreement: change=%d kind=%s what=%s old=%s new=%s", number, question.kind, question.what,
-                  row["old"], row["new"])
-        self.fleet.keep({"me": self.me.name, "boot": self.me.boot, "duty": DUTY, "do": "disagreed", "term": 0,
-                         "real_ms": time.monotonic() * 1000, **row})
+        row = {
+            "change": number,
+            "map": self.number,
+            "at": time.time(),
+            "kind": question.kind,
+            "what": question.what,
+            "most": question.most,
+            "why": compared.why,
+            "old": _plain(compared.old),
+            "new": _plain(compared.new),
+            "vector": {name: [stamp.boot, stamp.seq] for name, stamp in compared.vector.items()},
+        }
+        log.error(
+            "a disagreement: change=%d kind=%s what=%s old=%s new=%s",
+            number,
+            question.kind,
+            question.what,
+            row["old"],
+            row["new"],
+        )
+        self.fleet.keep(
+            {
+                "me": self.me.name,
+                "boot": self.me.boot,
+                "duty": DUTY,
+                "do": "disagreed",
+                "term": 0,
+                "real_ms": time.monotonic() * 1000,
+                **row,
+            }
+        )
         self.disagreements = [*self.disagreements, row][-KEPT_MAX:]
         if self._file is not None:
             try:
@@ -329,8 +356,11 @@
             case ["ask", kind, *rest] if kind in KINDS:
                 what = " ".join(rest)
                 try:
-                    question = Question(BUSIEST, "", max(1, min(MOST_BUSY, int(what or "10")))) \
-                        if kind == BUSIEST else Question(kind, what[:KEY_ROOM])
+                    question = (
+                        Question(BUSIEST, "", max(1, min(MOST_BUSY, int(what or "10"))))
+                        if kind == BUSIEST
+                        else Question(kind, what[:KEY_ROOM])
+                    )
                 except ValueError:
                     return f"busiest wants how many, got {what!r}"
                 self.answered = ""
@@ -340,21 +370,37 @@
     def _tell(self, reading: Reading) -> None:
         answer = reading.answer()
         if answer is not None:
-            self.answered = json.dumps({
-                "found": _plain(answer.found), "complete": answer.complete, "missing": list(answer.missing),
-                "shards": f"{len(answer.vectors)} of {len(reading.shards)}"})
+            self.answered = json.dumps(
+                {
+                    "found": _plain(answer.found),
+                    "complete": answer.complete,
+                    "missing": list(answer.missing),
+                    "shards": f"{len(answer.vectors)} of {len(reading.shards)}",
+                }
+            )
 
     def show(self) -> dict[str, Any]:
         """For operators."""
-        return {"map": self.number, "shards": [[one.first, one.last, list(one.owners)] for one in self.proven.shards],
-                "coming": self.watch.number,
-                "coming_shards": [[one.first, one.last, list(one.owners)] for one in self.coming.shards]
-                if self.coming is not None else [],
-                "epoch": self.account.seq, "rows": len(self.account.rows), "left_out": self.account.left_out,
-                "holds": {f"{first:x}-{last:x}": {"members": len(one.books), "keys": len(one.sums)}
-                          for (first, last), one in self.shelves.items()},
-                "agreed": dict(self.watch.counts), "verdicts": dict(self.watch.verdicts), "flaw": self.watch.flaw,
-                "disagreements": self.disagreements[-8:], "told": self.answered}
+        return {
+            "map": self.number,
+            "shards": [[one.first, one.last, list(one.owners)] for one in self.proven.shards],
+            "coming": self.watch.number,
+            "coming_shards": [[one.first, one.last, list(one.owners)] for one in self.coming.shards]
+            if self.coming is not None
+            else [],
+            "epoch": self.account.seq,
+            "rows": len(self.account.rows),
+            "left_out": self.account.left_out,
+            "holds": {
+                f"{first:x}-{last:x}": {"members": len(one.books), "keys": len(one.sums)}
+                for (first, last), one in self.shelves.items()
+            },
+            "agreed": dict(self.watch.counts),
+            "verdicts": dict(self.watch.verdicts),
+            "flaw": self.watch.flaw,
+            "disagreements": self.disagreements[-8:],
+            "told": self.answered,
+        }
 
 
 KEY_ROOM = 70
--- a/sageweir/cluster/ledger/shards.py
+++ b/sageweir/cluster/ledger/shards.py
@@ -114,8 +114,9 @@
 
 def write_map(shards: ShardMap) -> bytes:
     """The document of a map."""
-    return orjson.dumps({"shards": [{"first": one.first, "owners": list(one.owners)} for one in shards.shards],
-                         "dual": shards.dual})
+    return orjson.dumps(
+        {"shards": [{"first": one.first, "owners": list(one.owners)} for one in shards.shards], "dual": shards.dual}
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/sageweir/cluster/ledger/watch.py
+++ b/sageweir/cluster/ledger/watch.py
@@ -52,7 +52,7 @@
         number = draw.choice(numbers) if numbers else NOBODY
         match KINDS[self._turn % len(KINDS)]:
             case kind if kind == PREFIX:
-                return Question(PREFIX, number[:draw.randrange(len(number) + 1)])
+                return Question(PREFIX, number[: draw.randrange(len(number) + 1)])
             case kind if kind == BUSIEST:
                 return Question(BUSIEST, "", draw.randint(1, MOST_BUSY))
             case kind if kind == TENANT:
--- a/sageweir/cluster/link.py
+++ b/sageweir/cluster/link.py
@@ -25,8 +25,9 @@
     answer is returned.
     """
 
-    def __init__(self, limits: Limits, via: Mapping[str, Address], heard: Callable[[Packet], None],
-                 asked: Callable[[Full], Full]) -> None:
+    def __init__(
+        self, limits: Limits, via: Mapping[str, Address], heard: Callable[[Packet], None], asked: Callable[[Full], Full]
+    ) -> None:
         self.limits, self.via, self.heard, self.asked = limits, via, heard, asked
         self.pages: Callable[[bytes], bytes] | None = None  # what is fetched from this member: name in, bytes out
         self.letters: tuple[bytes, Callable[[bytes, tuple[str, int]], None]] | None = None  # how they begin, who takes
@@ -45,8 +46,9 @@
             udp.setblocking(False)
             udp.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.limits.cluster_buffer_bytes)
             udp.bind((address.host, address.port))
-            self._server = await asyncio.start_server(self._serve, address.host, address.port,
-                                                      backlog=self.limits.cluster_exchanges * 4)
+            self._server = await asyncio.start_server(
+                self._serve, address.host, address.port, backlog=self.limits.cluster_exchanges * 4
+            )
             await loop.create_datagram_endpoint(lambda: self, sock=udp)
         except OSError:
             udp.close()
@@ -104,7 +106,7 @@
             async with asyncio.timeout(self.limits.cluster_exchange_ms / 1000):
                 body = await self._read(reader)
                 if body.startswith(FETCH) and self.pages is not None:
-                    page = self.pages(body[len(FETCH):])[:FULL_BYTES]
+                    page = self.pages(body[len(FETCH) :])[:FULL_BYTES]
                     writer.write(len(page).to_bytes(4, "big") + page)
                 else:
                     self._write(writer, self.asked(decode_full(body)))
--- a/sageweir/cluster/member.py
+++ b/sageweir/cluster/member.py
@@ -67,8 +67,9 @@
 class Fleet:
     """The view at work. clock: a monotonic one; sized: told of each new estimate of the fleet's size."""
 
-    def __init__(self, clock: Clock, limits: Limits, config: ClusterConfig, name: str, floor: int,
-                 sized: Callable[[int], None]) -> None:
+    def __init__(
+        self, clock: Clock, limits: Limits, config: ClusterConfig, name: str, floor: int, sized: Callable[[int], None]
+    ) -> None:
         """floor: the fleet's size by the configuration, which holds until the view has settled. Raises ConfigError."""
         if not (1 <= len(name) <= 64 and name.isascii()):
             raise ConfigError(f"name: must have 1 to 64 ASCII characters in a fleet, got {name!r:.80}")
@@ -99,9 +100,18 @@
         me, audit = self.view.me, self.config.audit
         if audit is not None:
             self._duties_audit = AuditFile(audit.with_name(audit.name + ".duties"), self.limits.cluster_audit_bytes)
-        self.duties = Duties(self.clock, self.limits, self.config, Self(
-            self.config.fleet, me.name, me.boot, me.host, me.port), works, self.link.send_bytes, self._find,
-            lambda: [record.name for record in self.view.living], self.keep, self.point)
+        self.duties = Duties(
+            self.clock,
+            self.limits,
+            self.config,
+            Self(self.config.fleet, me.name, me.boot, me.host, me.port),
+            works,
+            self.link.send_bytes,
+            self._find,
+            lambda: [record.name for record in self.view.living],
+            self.keep,
+            self.point,
+        )
         self.link.letters = (HEAD, self.duties.heard)
 
     def keep(self, row: dict[str, object]) -> None:
@@ -129,8 +139,13 @@
             self._waits = True
             self._timer = self.clock.after(self.limits.cluster_listen_ms, self._again)
             return
-        log.info("in the fleet: fleet=%s name=%s listen=%s boot=%d", self.config.fleet, self.view.me.name,
-                 self.config.listen, self.view.me.boot)
+        log.info(
+            "in the fleet: fleet=%s name=%s listen=%s boot=%d",
+            self.config.fleet,
+            self.view.me.name,
+            self.config.listen,
+            self.view.me.boot,
+        )
         self._perform(self.view.start(self.clock.now()))
         if self.duties is not None:
             self.duties.start()
@@ -233,8 +248,12 @@
                 self._audit.write(change_row(self.view.me, change))
         size = self.view.size
         if (size.members, size.settled) != (self._size, self._settled):
-            log.info("the fleet: size=%d settled=%s living=%d", size.members, str(size.settled).lower(),
-                     len(self.view.living))
+            log.info(
+                "the fleet: size=%d settled=%s living=%d",
+                size.members,
+                str(size.settled).lower(),
+                len(self.view.living),
+            )
             if size.members != self._size:
                 self._sized(size.members)
             self._size, self._settled = size.members, size.settled
@@ -248,13 +267,26 @@
         if (record := change.record) is None:
             log.info("member=%s before=%s state=forgotten why=%r", change.name, before, change.why)
             return
-        log.info("member=%s before=%s state=%s incarnation=%d address=%s:%d zone=%s why=%r", change.name, before,
-                 record.state.name.lower(), record.incarnation, record.host, record.port, record.zone, change.why)
+        log.info(
+            "member=%s before=%s state=%s incarnation=%d address=%s:%d zone=%s why=%r",
+            change.name,
+            before,
+            record.state.name.lower(),
+            record.incarnation,
+            record.host,
+            record.port,
+            record.zone,
+            change.why,
+        )
 
     def show(self) -> str:
         """The whole view as one line of JSON, and the line that ends it."""
-        told = snapshot(self.view) | {"own_ms": round(self.view.time, 1), "period_ms": self.view.tuning.period_ms,
-                                      "unreadable": self.link.unreadable, "unsent": self.link.unsent}
+        told = snapshot(self.view) | {
+            "own_ms": round(self.view.time, 1),
+            "period_ms": self.view.tuning.period_ms,
+            "unreadable": self.link.unreadable,
+            "unsent": self.link.unsent,
+        }
         if self.duties is not None:
             told |= self.duties.show()
         if self.points is not None:
--- a/sageweir/cluster/size.py
+++ b/sageweir/cluster/size.py
@@ -34,8 +34,13 @@
     def look(self, seen: Seen, quiet_ms: float, health_bar: int = 2) -> bool:
         """Take a look; whether the estimate or the word has changed."""
         before = self.members, self.settled
-        self.settled = (seen.met and not seen.suspected and seen.unchanged_ms >= quiet_ms
-                        and seen.agreed >= min(3, seen.living - 1) and seen.health <= health_bar)
+        self.settled = (
+            seen.met
+            and not seen.suspected
+            and seen.unchanged_ms >= quiet_ms
+            and seen.agreed >= min(3, seen.living - 1)
+            and seen.health <= health_bar
+        )
         if self.settled:
             # Guards against the smaller part of a fleet that is cut in two, which would take the whole's budget.
             whole = seen.living + seen.died
--- a/sageweir/cluster/view.py
+++ b/sageweir/cluster/view.py
@@ -131,8 +131,9 @@
 class View:
     """The core. Each method that takes `now` returns what is to be sent; due() tells when to call wake()."""
 
-    def __init__(self, fleet: str, me: Record, seeds: tuple[tuple[str, int], ...], tuning: Tuning, draw: Random,
-                 floor: int = 1) -> None:
+    def __init__(
+        self, fleet: str, me: Record, seeds: tuple[tuple[str, int], ...], tuning: Tuning, draw: Random, floor: int = 1
+    ) -> None:
         """floor: the fleet's size as configured, which holds until the view has settled for the first time."""
         self.fleet, self.me, self.tuning, self.draw = fleet, me, tuning, draw
         self.seeds = tuple(seed for seed in seeds if seed != (me.host, me.port))
@@ -209,9 +210,18 @@
 
     def _done(self) -> list[Action]:
         out, self._out = self._out, []
-        self.size.look(Seen(
-            0 if self.away else self._living, self._suspected, self._died, self.time - self._changed_at, self._agreed,
-            self.health.score, self._met or not self.seeds), self.tuning.quiet(self._living))
+        self.size.look(
+            Seen(
+                0 if self.away else self._living,
+                self._suspected,
+                self._died,
+                self.time - self._changed_at,
+                self._agreed,
+                self.health.score,
+                self._met or not self.seeds,
+            ),
+            self.tuning.quiet(self._living),
+        )
         return out
 
     # The period
@@ -282,8 +292,11 @@
         """
         wanted = self.tuning.confirmations
         if self._suspected and self.draw.random() < min(0.5, SUSPECT_CALLS * self._suspected / self._living):
-            open_cases = [m for m in self.members.values() if m.suspicion is not None
-                          and len(m.suspicion.by) <= wanted and self.me.name not in m.suspicion.by]
+            open_cases = [
+                m
+                for m in self.members.values()
+                if m.suspicion is not None and len(m.suspicion.by) <= wanted and self.me.name not in m.suspicion.by
+            ]
             if open_cases:
                 return self.draw.choice(open_cases)
         for _ in range(2 * len(self._order) + 2):
@@ -419,8 +432,12 @@
     def _tell_displaced(self, source: Record) -> None:
         """A process that was stopped may not know that its name is another's by now: it is told, once a period."""
         member = self.members.get(source.name)
-        if member is None or source.boot not in member.past or not member.record.living \
-                or self.time - self._displaced_at < self.tuning.period_ms:
+        if (
+            member is None
+            or source.boot not in member.past
+            or not member.record.living
+            or self.time - self._displaced_at < self.tuning.period_ms
+        ):
             return
         self._displaced_at = self.time
         self._number += 1
@@ -551,8 +568,9 @@
         sent = max(0, self.tuning.sends(self._living) - 2) if soft else 0
         self._set(member, record, news.by or sender, f"told by {sender}", news.age_ms, True, sent)
 
-    def _set(self, member: Member, record: Record, by: str, why: str, age_ms: float = 0.0, first: bool = False,
-             sent: int = 0) -> None:
+    def _set(
+        self, member: Member, record: Record, by: str, why: str, age_ms: float = 0.0, first: bool = False, sent: int = 0
+    ) -> None:
         old = member.record
         if not first:
             self._count(old, -1)
@@ -605,8 +623,12 @@
                 self._set_timer(left, end)
                 return
             agreed = len(suspicion.by) - 1
-            self._set(member, member.record.said(State.DEAD), self.me.name,
-                      f"{SUSPECTED} for {waited:.0f} ms, {agreed} agreed")
+            self._set(
+                member,
+                member.record.said(State.DEAD),
+                self.me.name,
+                f"{SUSPECTED} for {waited:.0f} ms, {agreed} agreed",
+            )
 
         return end
 
@@ -662,8 +684,12 @@
         self._rival.record, self._rival.heard_at = source, self.time
         if not self.away:
             self.away = True
-            self._note(self.me.name, self.me.state, self.me,
-                       f"the name is held by another process at {source.host}:{source.port}")
+            self._note(
+                self.me.name,
+                self.me.state,
+                self.me,
+                f"the name is held by another process at {source.host}:{source.port}",
+            )
 
     # Leaving
 
--- a/sageweir/cluster/wire.py
+++ b/sageweir/cluster/wire.py
@@ -46,6 +46,6 @@
     if not data.startswith(HEAD):
         raise Unreadable("another form, or none")
     try:
-        return decoder.decode(memoryview(data)[len(HEAD):])
+        return decoder.decode(memoryview(data)[len(HEAD) :])
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise Unreadable(str(error)[:120]) from None
--- a/sageweir/config.py
+++ b/sageweir/config.py
@@ -14,8 +14,7 @@
 from dahliabridge.adapter import WireError, read_settings
 from sageweir.limits import Limits
 
-STATES = {"SERVING": api.ServerState.IN_SERVICE, "DRAINING": api.ServerState.DRAINING,
-          "DELETED": api.ServerState.GONE}
+STATES = {"SERVING": api.ServerState.IN_SERVICE, "DRAINING": api.ServerState.DRAINING, "DELETED": api.ServerState.GONE}
 FRONT_FILE = Path("deploy/fronts.json")
 CLUSTER_FILE = Path("deploy/cluster.json")  # the fleet's common things are on only where it exists
 
@@ -187,11 +186,18 @@
         state = STATES[word]
         gone = state is api.ServerState.GONE
         text = _get(row, "hostPort", str, at, "" if gone else ...)
-        listed.append(Listed(
-            api.Server(_get(row, "instanceId", str, at), _get(row, "cell", int, at, -1), state,
-                       float(_get(row, "startedAtMs", float, at, 0)),
-                       float(_get(row, "weight", float, at, 1))),
-            read_address(text, f"{at}hostPort") if text else None))
+        listed.append(
+            Listed(
+                api.Server(
+                    _get(row, "instanceId", str, at),
+                    _get(row, "cell", int, at, -1),
+                    state,
+                    float(_get(row, "startedAtMs", float, at, 0)),
+                    float(_get(row, "weight", float, at, 1)),
+                ),
+                read_address(text, f"{at}hostPort") if text else None,
+            )
+        )
     complete = _get(members, "reset", bool, f"{where}.members.", False)
     return ListEvent(_get(raw, "n", int, f"{where}."), complete, tuple(listed))
 
@@ -231,12 +237,38 @@
     return address
 
 
-CLUSTER_KEYS = frozenset({"fleet", "listen", "advertise", "zone", "join", "via", "period_ms", "remember_ms",
-                          "members_max", "audit", "faults", "electors", "electors_version", "lease_ms", "drift",
-                          "state", "changes"})
-CHANGES_BOUNDS = {"permit_ms": (200.0, 600_000.0), "window_ms": (50.0, 600_000.0), "least_ms": (0.0, 86_400_000.0),
-                  "longest_ms": (1000.0, 864_000_000.0), "least_calls": (0.0, 1e9), "block_ms": (50.0, 3_600_000.0),
-                  "settle_ms": (0.0, 600_000.0), "soak_ms": (0.0, 86_400_000.0), "margin": (0.001, 0.5)}
+CLUSTER_KEYS = frozenset(
+    {
+        "fleet",
+        "listen",
+        "advertise",
+        "zone",
+        "join",
+        "via",
+        "period_ms",
+        "remember_ms",
+        "members_max",
+        "audit",
+        "faults",
+        "electors",
+        "electors_version",
+        "lease_ms",
+        "drift",
+        "state",
+        "changes",
+    }
+)
+CHANGES_BOUNDS = {
+    "permit_ms": (200.0, 600_000.0),
+    "window_ms": (50.0, 600_000.0),
+    "least_ms": (0.0, 86_400_000.0),
+    "longest_ms": (1000.0, 864_000_000.0),
+    "least_calls": (0.0, 1e9),
+    "block_ms": (50.0, 3_600_000.0),
+    "settle_ms": (0.0, 600_000.0),
+    "soak_ms": (0.0, 86_400_000.0),
+    "margin": (0.001, 0.5),
+}
 
 
 def read_cluster(raw: Mapping[str, Any]) -> ClusterConfig:
@@ -280,15 +312,24 @@
     if len(set(electors.values())) < len(electors):
         raise ConfigError(f"{at}electors: two have the same address")
     return ClusterConfig(
-        text("fleet", 64), address(_get(raw, "listen", str, at), "listen"),
-        address(raw["advertise"], "advertise") if "advertise" in raw else None, text("zone", 32, ""),
+        text("fleet", 64),
+        address(_get(raw, "listen", str, at), "listen"),
+        address(raw["advertise"], "advertise") if "advertise" in raw else None,
+        text("zone", 32, ""),
         tuple(address(one, f"join[{i}]") for i, one in enumerate(join)),
         {key: address(one, f"via.{key}") for key, one in via.items()},
         float(number("period_ms", float, 500.0, 20.0, 60_000.0)),
         float(number("remember_ms", float, 86_400_000.0, 1000.0, 1e12)),
-        number("members_max", int, 2000, 2, 8000), files["audit"], files["faults"], electors,
-        number("electors_version", int, 1, 1, 1 << 40), float(number("lease_ms", float, 3000.0, 200.0, 600_000.0)),
-        float(number("drift", float, 0.05, 0.0, 0.2)), files["state"], _read_changes(raw, electors, files["state"]))
+        number("members_max", int, 2000, 2, 8000),
+        files["audit"],
+        files["faults"],
+        electors,
+        number("electors_version", int, 1, 1, 1 << 40),
+        float(number("lease_ms", float, 3000.0, 200.0, 600_000.0)),
+        float(number("drift", float, 0.05, 0.0, 0.2)),
+        files["state"],
+        _read_changes(raw, electors, files["state"]),
+    )
 
 
 def _read_changes(raw: Mapping[str, Any], electors: Mapping[str, Address], state: Path | None) -> ChangesConfig | None:
@@ -315,20 +356,26 @@
     return read_cluster(_load(path, "deploy")) if path.exists() else None
 
 
-def load(environ: Mapping[str, str] = os.environ, front_file: Path = FRONT_FILE,
-         cluster_file: Path = CLUSTER_FILE) -> Config:
+def load(
+    environ: Mapping[str, str] = os.environ, front_file: Path = FRONT_FILE, cluster_file: Path = CLUSTER_FILE
+) -> Config:
     """Read the configuration from NODE_CONFIG; NODE_NAME, NODE_LISTEN, NODE_ADMIN_ADDR go before what it says."""
     path = environ.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: missing")
-    config = read(_load(Path(path), "NODE_CONFIG"), environ, read_front(front_file),
-                  read_front(front_file, "xds_listen"))
+    config = read(
+        _load(Path(path), "NODE_CONFIG"), environ, read_front(front_file), read_front(front_file, "xds_listen")
+    )
     cluster = load_cluster(cluster_file)
     return config if cluster is None else replace(config, cluster=cluster)
 
 
-def read(raw: Mapping[str, Any], environ: Mapping[str, str] | None = None,
-         websocket: Address | None = None, xds: Address | None = None) -> Config:
+def read(
+    raw: Mapping[str, Any],
+    environ: Mapping[str, str] | None = None,
+    websocket: Address | None = None,
+    xds: Address | None = None,
+) -> Config:
     """Check a configuration object."""
     environ = environ or {}
     name = environ.get("NODE_NAME") or _get(raw, "name", str, "")
@@ -379,18 +426,50 @@
         max_left_ms=10 * max(c.deadline_ms for c in settings.classes),
     )
     known = _get(raw, "known", dict, "", {"n": 0, "events": []})
-    events = tuple(read_event(event, f"known.events[{i}]")
-                   for i, event in enumerate(_get(known, "events", list, "known.")))
+    events = tuple(
+        read_event(event, f"known.events[{i}]") for i, event in enumerate(_get(known, "events", list, "known."))
+    )
     feed = _get(raw, "feed", str, "", "")
-    return Config(name, read_address(listen, "listen"), read_address(feed, "feed") if feed else None, number,
-                  settings, fields, events, _get(known, "n", int, "known.", 0), limits, websocket, xds,
-                  _read_plain(admin, "admin_addr") if admin else None, int(fd) if fd else None, None,
-                  Path(environ["TMPDIR"]) if fd and environ.get("TMPDIR") else None)
+    return Config(
+        name,
+        read_address(listen, "listen"),
+        read_address(feed, "feed") if feed else None,
+        number,
+        settings,
+        fields,
+        events,
+        _get(known, "n", int, "known.", 0),
+        limits,
+        websocket,
+        xds,
+        _read_plain(admin, "admin_addr") if admin else None,
+        int(fd) if fd else None,
+        None,
+        Path(environ["TMPDIR"]) if fd and environ.get("TMPDIR") else None,
+    )
 
 
-CONTROL_KEYS = frozenset({
-    "name", "seed", "known", "feed", "settings", "limits", "xds_listen", "rest_listen", "proxy_listen", "demand",
-    "lease_ms", "heartbeats_per_s", "merge_ms", "drift_ms", "workers", "cluster", "admin_addr"})
+CONTROL_KEYS = frozenset(
+    {
+        "name",
+        "seed",
+        "known",
+        "feed",
+        "settings",
+        "limits",
+        "xds_listen",
+        "rest_listen",
+        "proxy_listen",
+        "demand",
+        "lease_ms",
+        "heartbeats_per_s",
+        "merge_ms",
+        "drift_ms",
+        "workers",
+        "cluster",
+        "admin_addr",
+    }
+)
 
 
 def load_control(path: Path) -> ControlConfig:
@@ -410,8 +489,12 @@
         text = _get(raw, key, str, "", "")
         found[key] = read_address(text, key) if text else None
     numbers = {}
-    for key, default, least in (("lease_ms", 200.0, 0.0), ("heartbeats_per_s", 3200.0, 1.0),
-                                ("merge_ms", 20.0, 0.0), ("drift_ms", 500.0, 0.0)):
+    for key, default, least in (
+        ("lease_ms", 200.0, 0.0),
+        ("heartbeats_per_s", 3200.0, 1.0),
+        ("merge_ms", 20.0, 0.0),
+        ("drift_ms", 500.0, 0.0),
+    ):
         numbers[key] = float(_get(raw, key, float, "", default))
         if not least <= numbers[key] < 1e9:
             raise ConfigError(f"{key}: must be at least {least:g}, got {numbers[key]:g}")
@@ -423,9 +506,20 @@
     if cluster is not None and workers > 1:
         raise ConfigError("workers: must be 1 with a cluster, as each instance has a name and an address there")
     per_s, capacity = _read_demand(raw, {c.name for c in base.settings.classes})
-    return ControlConfig(base, xds, found["rest_listen"], found["proxy_listen"], per_s, capacity,
-                         numbers["lease_ms"], numbers["heartbeats_per_s"], numbers["merge_ms"],
-                         numbers["drift_ms"], workers, cluster)
+    return ControlConfig(
+        base,
+        xds,
+        found["rest_listen"],
+        found["proxy_listen"],
+        per_s,
+        capacity,
+        numbers["lease_ms"],
+        numbers["heartbeats_per_s"],
+        numbers["merge_ms"],
+        numbers["drift_ms"],
+        workers,
+        cluster,
+    )
 
 
 def _read_demand(raw: Mapping[str, Any], classes: set[str]) -> tuple[dict[str, float] | None, float]:
--- a/sageweir/control/command.py
+++ b/sageweir/control/command.py
@@ -15,22 +15,32 @@
 
 def set_up_logs(as_json: bool) -> None:
     """Structured lines on standard error, each kind limited in number."""
-    renderer: structlog.typing.Processor = structlog.processors.JSONRenderer() if as_json else \
-        structlog.dev.ConsoleRenderer(colors=False)
+    renderer: structlog.typing.Processor = (
+        structlog.processors.JSONRenderer() if as_json else structlog.dev.ConsoleRenderer(colors=False)
+    )
     shared: list[structlog.typing.Processor] = [
-        structlog.stdlib.add_log_level, structlog.stdlib.add_logger_name,
-        structlog.processors.TimeStamper(fmt="iso", utc=True)]
+        structlog.stdlib.add_log_level,
+        structlog.stdlib.add_logger_name,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+    ]
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(structlog.stdlib.ProcessorFormatter(
-        processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, renderer],
-        foreign_pre_chain=shared))
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, renderer], foreign_pre_chain=shared
+        )
+    )
     handler.addFilter(RateLimit())
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
 
 
 @click.command()
-@click.option("--config", "path", type=click.Path(dir_okay=False, path_type=Path), required=True,
-              help="The service's file (JSON; deploy/control.schema.json).")
+@click.option(
+    "--config",
+    "path",
+    type=click.Path(dir_okay=False, path_type=Path),
+    required=True,
+    help="The service's file (JSON; deploy/control.schema.json).",
+)
 @click.option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True)
 def control(path: Path, log_format: str) -> None:
     """Run the control service: decisions for other proxies over xDS."""
--- a/sageweir/control/encoding.py
+++ b/sageweir/control/encoding.py
@@ -26,8 +26,11 @@
 from sageweir.control.subscriptions import Ask, Response, StreamFault
 
 MESSAGES: Mapping[str, Any] = {
-    LISTENER: listener_pb2.Listener, ROUTE: route_pb2.RouteConfiguration, CLUSTER: cluster_pb2.Cluster,
-    ENDPOINT: endpoint_pb2.ClusterLoadAssignment}
+    LISTENER: listener_pb2.Listener,
+    ROUTE: route_pb2.RouteConfiguration,
+    CLUSTER: cluster_pb2.Cluster,
+    ENDPOINT: endpoint_pb2.ClusterLoadAssignment,
+}
 WRAPPER = PREFIX + "envoy.service.discovery.v3.Resource"
 IN_SOTW, TTL = "xds.config.supports-resource-in-sotw", "xds.config.supports-resource-ttl"
 
@@ -56,8 +59,10 @@
             target.endpoint.address.socket_address.port_value = address["port_value"]
     for drop in body.get("policy", {}).get("drop_overloads", ()):
         part = drop["drop_percentage"]
-        message.policy.drop_overloads.add(category=drop["category"], drop_percentage={
-            "numerator": part["numerator"], "denominator": part["denominator"]})
+        message.policy.drop_overloads.add(
+            category=drop["category"],
+            drop_percentage={"numerator": part["numerator"], "denominator": part["denominator"]},
+        )
     return bytes(message.SerializeToString(deterministic=True))
 
 
@@ -68,9 +73,15 @@
         request.ParseFromString(data)
     except DecodeError:
         raise StreamFault("not a DiscoveryRequest") from None
-    return Ask(request.type_url, request.node.id, frozenset(request.node.client_features),
-               request.response_nonce, request.version_info,
-               _error(request), names=tuple(request.resource_names))
+    return Ask(
+        request.type_url,
+        request.node.id,
+        frozenset(request.node.client_features),
+        request.response_nonce,
+        request.version_info,
+        _error(request),
+        names=tuple(request.resource_names),
+    )
 
 
 def read_delta(data: bytes) -> Ask:
@@ -80,11 +91,17 @@
         request.ParseFromString(data)
     except DecodeError:
         raise StreamFault("not a DeltaDiscoveryRequest") from None
-    return Ask(request.type_url, request.node.id, frozenset(request.node.client_features),
-               request.response_nonce, "", _error(request),
-               subscribe=tuple(request.resource_names_subscribe),
-               unsubscribe=tuple(request.resource_names_unsubscribe),
-               held=dict(request.initial_resource_versions))
+    return Ask(
+        request.type_url,
+        request.node.id,
+        frozenset(request.node.client_features),
+        request.response_nonce,
+        "",
+        _error(request),
+        subscribe=tuple(request.resource_names_subscribe),
+        unsubscribe=tuple(request.resource_names_unsubscribe),
+        held=dict(request.initial_resource_versions),
+    )
 
 
 def _error(request: Any) -> str | None:
@@ -105,8 +122,15 @@
 
     def response(self, response: Response, delta: bool, lease_ms: float) -> bytes:
         """lease_ms: the time to live of each resource; 0 for none."""
-        key = (delta, lease_ms, response.beat, response.type_url, response.version, response.removed,
-               tuple((r.name, r.version) for r in response.resources))
+        key = (
+            delta,
+            lease_ms,
+            response.beat,
+            response.type_url,
+            response.version,
+            response.removed,
+            tuple((r.name, r.version) for r in response.resources),
+        )
         body = self._bodies.get(key)
         if body is None:
             make = self._delta if delta else self._sotw
@@ -132,8 +156,8 @@
 
     def _delta(self, response: Response, lease_ms: float) -> bytes:
         message = discovery_pb2.DeltaDiscoveryResponse(
-            system_version_info=response.version, type_url=response.type_url,
-            removed_resources=response.removed)
+            system_version_info=response.version, type_url=response.type_url, removed_resources=response.removed
+        )
         for resource in response.resources:
             message.resources.append(self._wrapped(resource, response.beat, lease_ms))
         return bytes(message.SerializeToString())
--- a/sageweir/control/fleet.py
+++ b/sageweir/control/fleet.py
@@ -60,17 +60,19 @@
         displaced = self._displace(members, {listed.entry.name for listed in event.listed})
         self.members = members
         self._remember(before, now_ms)
-        stopped = {name for name, old in before.items() if _open(old)
-                   and not (name in members and _open(members[name]))}
-        started = {name for name, new in members.items() if _open(new) and
-                   (name not in before or before[name].entry.started_ms != new.entry.started_ms)}
-        moved = {name for name, new in members.items()
-                 if name in before and before[name].address != new.address}
+        stopped = {
+            name for name, old in before.items() if _open(old) and not (name in members and _open(members[name]))
+        }
+        started = {
+            name
+            for name, new in members.items()
+            if _open(new) and (name not in before or before[name].entry.started_ms != new.entry.started_ms)
+        }
+        moved = {name for name, new in members.items() if name in before and before[name].address != new.address}
         change = Change(frozenset(stopped), frozenset(started), frozenset(moved), frozenset(displaced))
         return change, api.ListChange(tuple(m.entry for m in members.values()), complete=True)
 
-    def _take(self, members: dict[str, Member], before: Mapping[str, Member], listed: Listed,
-              now_ms: float) -> None:
+    def _take(self, members: dict[str, Member], before: Mapping[str, Member], listed: Listed, now_ms: float) -> None:
         entry, old = listed.entry, before.get(listed.entry.name)
         if entry.state is api.ServerState.GONE:
             members.pop(entry.name, None)
--- a/sageweir/control/grpc_front.py
+++ b/sageweir/control/grpc_front.py
@@ -24,8 +24,10 @@
 OPTIONS = (
     ("grpc.http2.bdp_probe", 0),
     ("grpc.so_reuseport", 1),
-    ("grpc.keepalive_time_ms", 10_000), ("grpc.keepalive_timeout_ms", 5_000),
-    ("grpc.http2.min_ping_interval_without_data_ms", 5_000), ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+    ("grpc.http2.max_pings_without_data", 0),
 )
 
 
@@ -45,8 +47,7 @@
     def leased(self) -> bool:
         """The proxy says that it heeds times to live, and can be sent them."""
         features = self.stream.features
-        return self.front.service.lease.lease_ms > 0 and TTL in features and \
-            (self.delta or IN_SOTW in features)
+        return self.front.service.lease.lease_ms > 0 and TTL in features and (self.delta or IN_SOTW in features)
 
     def close(self, code: grpc.StatusCode, text: str) -> None:
         """End the stream with a status."""
@@ -61,8 +62,12 @@
             waited: set[asyncio.Future[Any]] = {reader, writer, self.fault}
             await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
         except asyncio.CancelledError:
-            log.warning("%s (%s): stream broke off, or a request was over %d bytes", self.peer,
-                        self.node or "no node", self.front.request_bytes)
+            log.warning(
+                "%s (%s): stream broke off, or a request was over %d bytes",
+                self.peer,
+                self.node or "no node",
+                self.front.request_bytes,
+            )
             raise
         finally:
             reader.cancel()
@@ -86,8 +91,7 @@
                     raise StreamFault(f"a request of {len(data)} bytes, {limits.xds_request_bytes} are taken", True)
                 self._take(read_delta(data) if self.delta else read_sotw(data))
             except StreamFault as error:
-                code = grpc.StatusCode.RESOURCE_EXHAUSTED if error.exhausted else \
-                    grpc.StatusCode.INVALID_ARGUMENT
+                code = grpc.StatusCode.RESOURCE_EXHAUSTED if error.exhausted else grpc.StatusCode.INVALID_ARGUMENT
                 return self.close(code, str(error))
             data = await self.context.read()
         front.ended_by_proxy += 1
@@ -101,8 +105,14 @@
                 raise StreamFault(f"{self.node} has too many streams", True)
         if refused is not None:
             self.front.refusals += 1
-            log.warning("%s: refused %s of %s (%s), and keeps what it had: %s", refused.node, refused.version,
-                        refused.type_url.rpartition(".")[2], ", ".join(refused.names[:5]), refused.text)
+            log.warning(
+                "%s: refused %s of %s (%s), and keeps what it had: %s",
+                refused.node,
+                refused.version,
+                refused.type_url.rpartition(".")[2],
+                ", ".join(refused.names[:5]),
+                refused.text,
+            )
         self.wakeup.set()
 
     async def _write(self) -> None:
@@ -159,14 +169,22 @@
 
     async def start(self, address: str) -> int:
         """Listen; the port. Raises RuntimeError where the address can't be had."""
-        self._server = grpc.aio.server(options=(
-            *OPTIONS, ("grpc.max_receive_message_length", self.request_bytes)))
-        self._server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, {
-            "StreamAggregatedResources": grpc.stream_stream_rpc_method_handler(
-                self._handler(SotwStream, False)),
-            "DeltaAggregatedResources": grpc.stream_stream_rpc_method_handler(
-                self._handler(DeltaStream, True)),
-        }),))
+        self._server = grpc.aio.server(options=(*OPTIONS, ("grpc.max_receive_message_length", self.request_bytes)))
+        self._server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    SERVICE,
+                    {
+                        "StreamAggregatedResources": grpc.stream_stream_rpc_method_handler(
+                            self._handler(SotwStream, False)
+                        ),
+                        "DeltaAggregatedResources": grpc.stream_stream_rpc_method_handler(
+                            self._handler(DeltaStream, True)
+                        ),
+                    },
+                ),
+            )
+        )
         port = self._server.add_insecure_port(address)
         if not port:
             raise RuntimeError(f"can't listen at {address}")
@@ -193,11 +211,13 @@
     def _handler(self, kind: Callable[[Any, int], Stream], delta: bool) -> Callable[..., Any]:
         async def handle(_: Any, context: Any) -> None:
             limits = self.service.limits
-            silent = sum(1 for s in self.sessions if not s.node) if \
-                len(self.sessions) >= limits.xds_silent_streams else 0
+            silent = (
+                sum(1 for s in self.sessions if not s.node) if len(self.sessions) >= limits.xds_silent_streams else 0
+            )
             if len(self.sessions) >= limits.xds_streams or silent >= limits.xds_silent_streams:
-                log.warning("%s: stream refused, %d are open, %d of them silent", context.peer(),
-                            len(self.sessions), silent)
+                log.warning(
+                    "%s: stream refused, %d are open, %d of them silent", context.peer(), len(self.sessions), silent
+                )
                 await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many streams")
             session = Session(self, context, kind(limits, next(self._ids)), delta)
             self.sessions.add(session)
@@ -209,6 +229,7 @@
                     self.nodes[session.node] -= 1
                     if not self.nodes[session.node]:
                         del self.nodes[session.node]
+
         return handle
 
     def _wake(self) -> None:
--- a/sageweir/control/line.py
+++ b/sageweir/control/line.py
@@ -130,11 +130,33 @@
         if self.base is None:
             return b""
         if self._blob is None:
-            rows = [[r.type_url, r.name, r.version, r.body.json, sorted(r.body.needs), sorted(r.body.refers),
-                     sorted(r.body.offers), r.body.on_demand] for of in self.base.types.values() for r in of.values()]
-            self._blob = zlib.compress(orjson.dumps({
-                "epoch": self.base.epoch, "number": self.base.number, "feed": self.feed, "rows": rows,
-                "versions": dict(self.base.versions), "stopped": sorted(self.base.stopped)}), 1)
+            rows = [
+                [
+                    r.type_url,
+                    r.name,
+                    r.version,
+                    r.body.json,
+                    sorted(r.body.needs),
+                    sorted(r.body.refers),
+                    sorted(r.body.offers),
+                    r.body.on_demand,
+                ]
+                for of in self.base.types.values()
+                for r in of.values()
+            ]
+            self._blob = zlib.compress(
+                orjson.dumps(
+                    {
+                        "epoch": self.base.epoch,
+                        "number": self.base.number,
+                        "feed": self.feed,
+                        "rows": rows,
+                        "versions": dict(self.base.versions),
+                        "stopped": sorted(self.base.stopped),
+                    }
+                ),
+                1,
+            )
         return self._blob
 
     def take(self, blob: bytes, least: int, most: int) -> str:
@@ -168,8 +190,14 @@
         for kind, name, version, body, needs, refers, offers, on_demand in raw["rows"]:
             old = before.of(kind).get(name)
             if old is None or old.version != version:
-                old = Resource(kind, name, version, Body(
-                    body, frozenset(map(tuple, needs)), frozenset(map(tuple, refers)), frozenset(offers), on_demand),
-                    self.store.encode)
+                old = Resource(
+                    kind,
+                    name,
+                    version,
+                    Body(
+                        body, frozenset(map(tuple, needs)), frozenset(map(tuple, refers)), frozenset(offers), on_demand
+                    ),
+                    self.store.encode,
+                )
             types.setdefault(kind, {})[name] = old
         return Snapshot(raw["epoch"], raw["number"], types, raw["versions"], frozenset(raw["stopped"]))
--- a/sageweir/control/pace.py
+++ b/sageweir/control/pace.py
@@ -38,8 +38,7 @@
     if old == new:
         return Urgency.NONE
     olds, worst = {c.service_class: c for c in old.classes}, Urgency.NONE
-    if new.stopped - old.stopped or [c.service_class for c in old.classes] != \
-            [c.service_class for c in new.classes]:
+    if new.stopped - old.stopped or [c.service_class for c in old.classes] != [c.service_class for c in new.classes]:
         return Urgency.NOW
     for plan in new.classes:
         worst = max(worst, _of_class(olds[plan.service_class], plan, pace))
--- a/sageweir/control/poll.py
+++ b/sageweir/control/poll.py
@@ -19,10 +19,19 @@
 
 log = logging.getLogger("sageweir.xds")
 
-PATHS = {f"/v3/discovery:{word}": type_url for word, type_url in (
-    ("listeners", LISTENER), ("routes", ROUTE), ("clusters", CLUSTER), ("endpoints", ENDPOINT))}
-WORDS = {200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-         411: "Length Required", 413: "Content Too Large"}
+PATHS = {
+    f"/v3/discovery:{word}": type_url
+    for word, type_url in (("listeners", LISTENER), ("routes", ROUTE), ("clusters", CLUSTER), ("endpoints", ENDPOINT))
+}
+WORDS = {
+    200: "OK",
+    304: "Not Modified",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    411: "Length Required",
+    413: "Content Too Large",
+}
 
 
 class Discovery:
@@ -44,17 +53,20 @@
         if request.get("type_url", type_url) != type_url or not isinstance(names, list):
             return 400, b"type_url must be the page's, resource_names a list"
         if request.get("error_detail"):  # the proxy refused what it got, and keeps the version before
-            log.warning("a proxy refused nonce %r: %.200s", request.get("response_nonce"),
-                        request["error_detail"])
+            log.warning("a proxy refused nonce %r: %.200s", request.get("response_nonce"), request["error_detail"])
         snapshot = self._present()
         version = snapshot.versions.get(type_url, f"{snapshot.epoch}.0")
         if request.get("version_info") == version and not request.get("error_detail"):
             return 304, b""
         self._nonce += 1
-        found = [{"@type": type_url, **r.body.json} for name, r in snapshot.of(type_url).items()
-                 if name in names or (not names and not r.body.on_demand)]
-        return 200, orjson.dumps({"version_info": version, "resources": found, "type_url": type_url,
-                                  "nonce": str(self._nonce)})
+        found = [
+            {"@type": type_url, **r.body.json}
+            for name, r in snapshot.of(type_url).items()
+            if name in names or (not names and not r.body.on_demand)
+        ]
+        return 200, orjson.dumps(
+            {"version_info": version, "resources": found, "type_url": type_url, "nonce": str(self._nonce)}
+        )
 
 
 class DiscoveryConnection(asyncio.BufferedProtocol):
@@ -114,7 +126,7 @@
             return False
         if len(self._body) < int(length):
             return False
-        body, rest = bytes(self._body[:int(length)]), bytes(self._body[int(length):])
+        body, rest = bytes(self._body[: int(length)]), bytes(self._body[int(length) :])
         close = "close" in self._head.tokens("connection")
         self._reader, self._head = HeadReader(self._limits.head_bytes), None
         self._reader.rest += rest
@@ -125,7 +137,11 @@
         if self._transport is None:
             return
         kind = "application/json" if status == 200 else "text/plain"
-        self._transport.write((f"HTTP/1.1 {status} {WORDS[status]}\r\nContent-Type: {kind}\r\n"
-                               f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+        self._transport.write(
+            (
+                f"HTTP/1.1 {status} {WORDS[status]}\r\nContent-Type: {kind}\r\nContent-Length: {len(body)}\r\n\r\n"
+            ).encode()
+            + body
+        )
         if close or self._transport.get_write_buffer_size() > self._limits.write_bytes:
             self._transport.close()
--- a/sageweir/control/program.py
+++ b/sageweir/control/program.py
@@ -47,8 +47,7 @@
         self.front = GrpcFront(self.service)
         self.feed = FeedClient(clock, base.limits, base.feed, base.known_number, self.service.follow)
         self._newest = config
-        self.reloader = Reloader(clock, base, self.feed, self._load, FIXED,
-                                 lambda: self.service.reload(self._newest))
+        self.reloader = Reloader(clock, base, self.feed, self._load, FIXED, lambda: self.service.reload(self._newest))
         self._rest: asyncio.Server | None = None
         self.fleet: Fleet | None = None
         self.admin: AdminSide | None = None
@@ -66,9 +65,15 @@
             self.fleet = Member(beat, base.limits, config.cluster, base.name, 1, lambda size: None)
             if config.cluster.electors:
                 self.fleet.take_up({DUTY: Publisher(self.service, self.fleet)})
-            self.admin = AdminSide(clock, base.limits, {
-                "ready": lambda: granted("" if self.service.ready else "starting"), "show-cluster": self.fleet.show,
-            }, {"hand-over": self.fleet.hand_over, "electors": self.fleet.electors})
+            self.admin = AdminSide(
+                clock,
+                base.limits,
+                {
+                    "ready": lambda: granted("" if self.service.ready else "starting"),
+                    "show-cluster": self.fleet.show,
+                },
+                {"hand-over": self.fleet.hand_over, "electors": self.fleet.electors},
+            )
 
     def _load(self) -> Config:
         self._newest = load_control(self.path)
@@ -90,7 +95,8 @@
         if (rest := self.config.rest) is not None:
             page = Discovery(lambda: self.service.present)
             self._rest = await asyncio.get_running_loop().create_server(
-                lambda: DiscoveryConnection(base.limits, page), rest.host, rest.port, reuse_port=True)
+                lambda: DiscoveryConnection(base.limits, page), rest.host, rest.port, reuse_port=True
+            )
             log.info("%s: serving polled discovery at %s", base.name, rest)
 
     def _listen_for_feed(self) -> None:
@@ -115,10 +121,12 @@
     def figures(self) -> str:
         """A line for operators, on SIGUSR1."""
         front, service = self.front, self.service
-        return (f"{len(front.sessions)} streams ({sum(s.leased for s in front.sessions)} leased for "
-                f"{front.lease_ms:.0f} ms), {front.responses} responses, {front.bytes_sent} bytes, "
-                f"{front.encoder.made} bodies encoded, {front.refusals} refusals, version "
-                f"{service.present.epoch}.{service.present.number}, {len(service.fleet.members)} servers")
+        return (
+            f"{len(front.sessions)} streams ({sum(s.leased for s in front.sessions)} leased for "
+            f"{front.lease_ms:.0f} ms), {front.responses} responses, {front.bytes_sent} bytes, "
+            f"{front.encoder.made} bodies encoded, {front.refusals} refusals, version "
+            f"{service.present.epoch}.{service.present.number}, {len(service.fleet.members)} servers"
+        )
 
 
 async def serve(path: Path, config: ControlConfig) -> None:
--- a/sageweir/control/publish.py
+++ b/sageweir/control/publish.py
@@ -58,5 +58,10 @@
             self.taken += 1
 
     def show(self, now: float) -> dict[str, Any]:
-        return {"at": list(self.line.at), "told": list(self.line.told), "taken": self.taken,
-                "feed": self.line.feed, "refused": self.line.refused}
+        return {
+            "at": list(self.line.at),
+            "told": list(self.line.told),
+            "taken": self.taken,
+            "feed": self.line.feed,
+            "refused": self.line.refused,
+        }
--- a/sageweir/control/resources.py
+++ b/sageweir/control/resources.py
@@ -33,16 +33,22 @@
         name = cluster_name(one.service_class)
         found[CLUSTER, name] = Body(_cluster(name), refers=frozenset({(ENDPOINT, name)}))
         found[ENDPOINT, name] = Body(
-            _endpoints(name, one),
-            offers=frozenset(o.name for o in one.offers if o.health is Health.HEALTHY))
+            _endpoints(name, one), offers=frozenset(o.name for o in one.offers if o.health is Health.HEALTHY)
+        )
     found[ROUTE, NAME] = _route(plan, settings)
     refers = frozenset({(ROUTE, NAME)})
     found[LISTENER, NAME] = Body(
-        {"name": NAME, "api_listener": {"api_listener": _manager()}}, refers=refers, on_demand=True)
+        {"name": NAME, "api_listener": {"api_listener": _manager()}}, refers=refers, on_demand=True
+    )
     if listen is not None:
         found[LISTENER, TCP_NAME] = Body(
-            {"name": TCP_NAME, "address": _address(listen), "filter_chains": [{"filters": [
-                {"name": "http", "typed_config": _manager()}]}]}, refers=refers)
+            {
+                "name": TCP_NAME,
+                "address": _address(listen),
+                "filter_chains": [{"filters": [{"name": "http", "typed_config": _manager()}]}],
+            },
+            refers=refers,
+        )
     return found
 
 
@@ -51,9 +57,12 @@
 
 
 def _manager() -> dict[str, Any]:
-    return {"@type": HTTP_MANAGER, "stat_prefix": NAME,
-            "rds": {"config_source": ADS, "route_config_name": NAME},
-            "http_filters": [{"name": "router", "typed_config": {"@type": ROUTER}}]}
+    return {
+        "@type": HTTP_MANAGER,
+        "stat_prefix": NAME,
+        "rds": {"config_source": ADS, "route_config_name": NAME},
+        "http_filters": [{"name": "router", "typed_config": {"@type": ROUTER}}],
+    }
 
 
 def _route(plan: Plan, settings: api.Settings) -> Body:
@@ -64,12 +73,21 @@
     classes = {spec.name: spec for spec in settings.classes}
     names = [one.service_class for one in plan.classes]
     rest = cheapest(settings)
-    routes = [{"match": {"prefix": "", "headers": [{"name": CLASS_HEADER, "string_match": {"exact": name}}]},
-               "route": _action(classes[name])} for name in names if name != rest]
+    routes = [
+        {
+            "match": {"prefix": "", "headers": [{"name": CLASS_HEADER, "string_match": {"exact": name}}]},
+            "route": _action(classes[name]),
+        }
+        for name in names
+        if name != rest
+    ]
     routes.append({"match": {"prefix": ""}, "route": _action(classes[rest])})
     keys = {(kind, cluster_name(name)) for name in names for kind in (CLUSTER, ENDPOINT)}
-    return Body({"name": NAME, "virtual_hosts": [{"name": NAME, "domains": ["*"], "routes": routes}]},
-                needs=frozenset(keys), refers=frozenset(key for key in keys if key[0] == CLUSTER))
+    return Body(
+        {"name": NAME, "virtual_hosts": [{"name": NAME, "domains": ["*"], "routes": routes}]},
+        needs=frozenset(keys),
+        refers=frozenset(key for key in keys if key[0] == CLUSTER),
+    )
 
 
 def _action(spec: api.ServiceClass) -> dict[str, Any]:
@@ -81,23 +99,34 @@
 
     No panic threshold: with one, a proxy sends to all servers, the draining ones too, once half are out.
     """
-    return {"name": name, "type": "EDS", "eds_cluster_config": {"eds_config": ADS}, "connect_timeout": "0.5s",
-            "lb_policy": "ROUND_ROBIN",
-            "common_lb_config": {"healthy_panic_threshold": {"value": 0}, "locality_weighted_lb_config": {}}}
+    return {
+        "name": name,
+        "type": "EDS",
+        "eds_cluster_config": {"eds_config": ADS},
+        "connect_timeout": "0.5s",
+        "lb_policy": "ROUND_ROBIN",
+        "common_lb_config": {"healthy_panic_threshold": {"value": 0}, "locality_weighted_lb_config": {}},
+    }
 
 
 def _endpoints(name: str, plan: ClassPlan) -> dict[str, Any]:
     localities = []
     for offer in plan.offers:
         health = offer.health.value
-        row: dict[str, Any] = {"locality": {"sub_zone": offer.name}, "lb_endpoints": [{
-            "health_status": health,
-            "endpoint": {"hostname": offer.name, "address": _address(offer.address)}}]}
+        row: dict[str, Any] = {
+            "locality": {"sub_zone": offer.name},
+            "lb_endpoints": [
+                {"health_status": health, "endpoint": {"hostname": offer.name, "address": _address(offer.address)}}
+            ],
+        }
         if offer.weight > 0:
             row["load_balancing_weight"] = offer.weight
         localities.append(row)
     body: dict[str, Any] = {"cluster_name": name, "endpoints": localities}
     if plan.drop:
-        body["policy"] = {"drop_overloads": [{"category": CATEGORY, "drop_percentage": {
-            "numerator": plan.drop, "denominator": "MILLION"}}]}
+        body["policy"] = {
+            "drop_overloads": [
+                {"category": CATEGORY, "drop_percentage": {"numerator": plan.drop, "denominator": "MILLION"}}
+            ]
+        }
     return body
--- a/sageweir/control/service.py
+++ b/sageweir/control/service.py
@@ -105,8 +105,7 @@
             log.warning("feed: not heard since the start; the configuration's list is served as it is")
             self._ready()
         elif self.ready and now - self.feed_lost_ms >= self.limits.feed_silence_ms:
-            log.warning("feed: lost for %.0f s; the list stands as it was told last",
-                        (now - self.feed_lost_ms) / 1000)
+            log.warning("feed: lost for %.0f s; the list stands as it was told last", (now - self.feed_lost_ms) / 1000)
 
     def _ready(self) -> None:
         if not self.ready:
@@ -136,8 +135,14 @@
     def decide(self) -> None:
         """Work out the shares now, and push them at once, later or not at all."""
         now = self.clock.now()
-        self.plan = plan(self.controller.settings, self.controller.servers, self.fleet.members, self.demand,
-                         self.fleet.base(now), now)
+        self.plan = plan(
+            self.controller.settings,
+            self.controller.servers,
+            self.fleet.members,
+            self.demand,
+            self.fleet.base(now),
+            now,
+        )
         due = self.pacer.offer(self.plan, now)
         if self._timer is not None:
             self._timer.cancel()
@@ -153,8 +158,14 @@
         """The merge window, or the time between drifts, is over."""
         self._timer = None
         now = self.clock.now()
-        self.plan = plan(self.controller.settings, self.controller.servers, self.fleet.members, self.demand,
-                         self.fleet.base(now), now)
+        self.plan = plan(
+            self.controller.settings,
+            self.controller.servers,
+            self.fleet.members,
+            self.demand,
+            self.fleet.base(now),
+            now,
+        )
         self._push(self.plan, now)
 
     def _push(self, newest: Plan, now: float) -> None:
@@ -177,4 +188,3 @@
     def _wake(self) -> None:
         for listener in list(self.listeners):
             listener()
-
--- a/sageweir/control/shares.py
+++ b/sageweir/control/shares.py
@@ -144,8 +144,14 @@
     return shares
 
 
-def plan(settings: api.Settings, views: Mapping[str, ServerView], members: Mapping[str, Member],
-         demand: Demand, base: float, now_ms: float) -> Plan:
+def plan(
+    settings: api.Settings,
+    views: Mapping[str, ServerView],
+    members: Mapping[str, Member],
+    demand: Demand,
+    base: float,
+    now_ms: float,
+) -> Plan:
     """The shares of every class, from the decision module's views of the servers that are listed.
 
     views: the module's state by server id; base: size of the fleet as it lately was; now_ms: Unix time.
@@ -155,10 +161,16 @@
     stated = demand.per_s is not None and demand.capacity_per_s > 0
     for position, index in enumerate(order):
         spec = settings.classes[index]
-        listed = {name: view for name, view in views.items() if name in members
-                  and (spec.allowed is None or view.entry.number in spec.allowed)}
-        takes = {name: view for name, view in listed.items() if view.listed()
-                 and view.closed_until <= now_ms and view.bad < BAD_ENDS}
+        listed = {
+            name: view
+            for name, view in views.items()
+            if name in members and (spec.allowed is None or view.entry.number in spec.allowed)
+        }
+        takes = {
+            name: view
+            for name, view in listed.items()
+            if view.listed() and view.closed_until <= now_ms and view.bad < BAD_ENDS
+        }
         units = demand.class_units(spec.name, base)
         weights = _weights(takes, index, settings, now_ms)
         caps = {name: room[name] / units if units > 0 else inf for name in takes}
@@ -178,16 +190,23 @@
     return Plan(tuple(plans), stopped)
 
 
-def _weights(takes: Mapping[str, ServerView], index: int, settings: api.Settings,
-             now_ms: float) -> dict[str, float]:
+def _weights(takes: Mapping[str, ServerView], index: int, settings: api.Settings, now_ms: float) -> dict[str, float]:
     """By size and warmth, and by the class's rate where the module has cut it below the others'."""
     best = max((view.buckets[index].rate for view in takes.values()), default=0.0)
-    return {name: view.entry.size * view.warmth(settings, now_ms)
-            * (view.buckets[index].rate / best if best > 0 else 1.0) for name, view in takes.items()}
-
-
-def _class_plan(name: str, listed: Mapping[str, ServerView], members: Mapping[str, Member],
-                shares: Mapping[str, float], settings: api.Settings, now_ms: float) -> ClassPlan:
+    return {
+        name: view.entry.size * view.warmth(settings, now_ms) * (view.buckets[index].rate / best if best > 0 else 1.0)
+        for name, view in takes.items()
+    }
+
+
+def _class_plan(
+    name: str,
+    listed: Mapping[str, ServerView],
+    members: Mapping[str, Member],
+    shares: Mapping[str, float],
+    settings: api.Settings,
+    now_ms: float,
+) -> ClassPlan:
     whole = sum(shares.values())
     offers = []
     for server, view in sorted(listed.items()):
@@ -199,8 +218,9 @@
             health = Health.UNHEALTHY
         else:
             health = Health.HEALTHY
-        offers.append(Offer(server, member.address, health, weight, view.warmth(settings, now_ms) < 1,
-                            member.generation))
+        offers.append(
+            Offer(server, member.address, health, weight, view.warmth(settings, now_ms) < 1, member.generation)
+        )
     # Rounded up: what is dropped too much by a millionth breaks no rule.
     drop = min(SCALE, -int(-SCALE * max(0.0, 1 - whole) // 1)) if whole < 1 - 1e-9 and whole > 0 else 0
     return ClassPlan(name, tuple(offers), drop)
--- a/sageweir/control/subscriptions.py
+++ b/sageweir/control/subscriptions.py
@@ -180,9 +180,14 @@
                     break
             return None
         del books.flights[ask.nonce]
-        changed = {n: r for n, r in flight.changed.items()
-                   if r is not None and books.sent.get(n) is r and books.taken.get(n) is not r
-                   and books.refused.get(n) != r.version}
+        changed = {
+            n: r
+            for n, r in flight.changed.items()
+            if r is not None
+            and books.sent.get(n) is r
+            and books.taken.get(n) is not r
+            and books.refused.get(n) != r.version
+        }
         for name, resource in changed.items():
             # Guards against one bad resource that stops the sound ones beside it: each is tried by itself.
             if len(changed) > 1 and books.fresh:
@@ -213,12 +218,15 @@
     def _response(self, type_url: str, books: _Type, snapshot: Snapshot, now_ms: float) -> Response | None:
         raise NotImplementedError
 
-    def _due(self, books: _Type, targets: Mapping[str, Resource], snapshot: Snapshot,
-             now_ms: float) -> list[Resource]:
+    def _due(self, books: _Type, targets: Mapping[str, Resource], snapshot: Snapshot, now_ms: float) -> list[Resource]:
         """What differs from what was sent, was not refused as it is, and has what it needs."""
-        due = [r for name, r in targets.items()
-               if (books.sent.get(name) is not r or name in books.asked)
-               and books.refused.get(name) != r.version and self._ready(r, snapshot, now_ms)]
+        due = [
+            r
+            for name, r in targets.items()
+            if (books.sent.get(name) is not r or name in books.asked)
+            and books.refused.get(name) != r.version
+            and self._ready(r, snapshot, now_ms)
+        ]
         if books.alone and due:
             single = next((r for r in due if r.name in books.alone), None)
             rest = [r for r in due if r.name not in books.alone]
@@ -240,12 +248,12 @@
             books.asked.difference_update(changed)
             books.stale.difference_update(changed)
         books.flights[response.nonce] = _Flight(
-            response.version, {} if response.beat else changed, now_ms, response.beat)
+            response.version, {} if response.beat else changed, now_ms, response.beat
+        )
 
     def unconfirmed_since(self) -> float | None:
         """When the oldest response was sent that still waits for its ACK, Unix ms."""
-        return min((next(iter(b.flights.values())).sent_ms for b in self.types.values() if b.flights),
-                   default=None)
+        return min((next(iter(b.flights.values())).sent_ms for b in self.types.values() if b.flights), default=None)
 
     def quiet(self, snapshot: Snapshot, now_ms: float) -> bool:
         """Nothing is owed, and nothing waits for an ACK."""
@@ -299,8 +307,12 @@
     def _still_named(self, type_url: str, name: str) -> bool:
         """Whether something that the proxy holds, or may hold, names this resource."""
         key = (type_url, name)
-        return any(key in r.body.refers for books in self.types.values()
-                   for table in (books.taken, books.sent) for r in table.values())
+        return any(
+            key in r.body.refers
+            for books in self.types.values()
+            for table in (books.taken, books.sent)
+            for r in table.values()
+        )
 
 
 class SotwStream(Stream):
@@ -339,17 +351,18 @@
             return None
         return Response(type_url, snapshot.versions[type_url], self._nonce(), tuple(due))
 
-    def _world(self, type_url: str, books: _Type, targets: Mapping[str, Resource], snapshot: Snapshot,
-               now_ms: float) -> dict[str, Resource]:
+    def _world(
+        self, type_url: str, books: _Type, targets: Mapping[str, Resource], snapshot: Snapshot, now_ms: float
+    ) -> dict[str, Resource]:
         """All that the proxy is to hold: the targets, but for what it refused, or can't use yet, what it has
         instead; and what is gone while something that it holds names it.
         """
         world: dict[str, Resource] = {}
-        on_trial = next((name for name, r in targets.items()
-                         if name in books.alone and books.refused.get(name) != r.version), None)
+        on_trial = next(
+            (name for name, r in targets.items() if name in books.alone and books.refused.get(name) != r.version), None
+        )
         for name, resource in targets.items():
-            refused = books.refused.get(name) == resource.version or \
-                (name in books.alone and name != on_trial)
+            refused = books.refused.get(name) == resource.version or (name in books.alone and name != on_trial)
             if not refused and self._ready(resource, snapshot, now_ms):
                 world[name] = resource
             elif name in books.taken:
@@ -414,12 +427,13 @@
     def _response(self, type_url: str, books: _Type, snapshot: Snapshot, now_ms: float) -> Response | None:
         present = snapshot.of(type_url)
         due = self._due(books, books.targets(present), snapshot, now_ms)
-        gone = [name for name in sorted({*books.sent, *books.taken, *books.stale})
-                if name not in present and not self._still_named(type_url, name)]
+        gone = [
+            name
+            for name in sorted({*books.sent, *books.taken, *books.stale})
+            if name not in present and not self._still_named(type_url, name)
+        ]
         gone += [name for name in sorted(books.asked) if name not in present and name not in gone]
         if not due and not gone:
             return None
         # Never both at once: removals come after, and a refused addition takes no removal with it.
-        return Response(type_url, snapshot.versions[type_url], self._nonce(), tuple(due),
-                        () if due else tuple(gone))
-
+        return Response(type_url, snapshot.versions[type_url], self._nonce(), tuple(due), () if due else tuple(gone))
--- a/sageweir/counters.py
+++ b/sageweir/counters.py
@@ -38,6 +38,10 @@
 def show(counters: Counters, outstanding: int, discovered: int, ejected: int) -> str:
     """All figures, a line each, and the line that ends them."""
     lines = [f"{how.value}.{name}={count}" for how, table in counters.settled.items() for name, count in table.items()]
-    lines += [f"forwards={counters.forwards}", f"outstanding={outstanding}", f"discovered={discovered}",
-              f"ejected={ejected}"]
+    lines += [
+        f"forwards={counters.forwards}",
+        f"outstanding={outstanding}",
+        f"discovered={discovered}",
+        f"ejected={ejected}",
+    ]
     return "\n".join([*(f"{PREFIX}.{line}" for line in lines), "EOT"])
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -277,9 +277,18 @@
             if ending.outcome in (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED):
                 call.not_before = now + self.limits.guard_ms
         rate, share = read_report(ending.report)
-        self._post(api.AttemptEnded(
-            name, attempt.number, attempt.server, ending.outcome, now - attempt.sent_at, call is None,
-            max_rate=rate, hold_back=share))
+        self._post(
+            api.AttemptEnded(
+                name,
+                attempt.number,
+                attempt.server,
+                ending.outcome,
+                now - attempt.sent_at,
+                call is None,
+                max_rate=rate,
+                hold_back=share,
+            )
+        )
 
     def _finish(self, name: str, how: Settled, tell: Callable[[Call], bool]) -> None:
         """Give the final answer, once."""
@@ -323,8 +332,12 @@
         # Guards against a request without a final answer, should the module ever forget one.
         call = self.calls.get(name)
         if call is not None and not call.stands:
-            log.warning("call %s: undecided near its deadline, failed; it came with %.0f ms, %d attempts",
-                        name, call.request.left_ms, call.attempts)
+            log.warning(
+                "call %s: undecided near its deadline, failed; it came with %.0f ms, %d attempts",
+                name,
+                call.request.left_ms,
+                call.attempts,
+            )
             self._give_up_on(name)
 
     # From callers
@@ -339,8 +352,11 @@
             log.warning("call %s: a second set-up with this id is not taken", name)
             return False
         if turned_away or len(self.calls) >= self.limits.open_calls:
-            log.warning("call %s: refused, %s", name, "its caller is being sent away" if turned_away
-                        else f"{len(self.calls)} calls are open")
+            log.warning(
+                "call %s: refused, %s",
+                name,
+                "its caller is being sent away" if turned_away else f"{len(self.calls)} calls are open",
+            )
             self.counters.settle(request.service_class, Settled.DECLINED)
             caller.refuse(name, 0.0)
             return True
@@ -349,10 +365,18 @@
         self.unanswered += 1
         if self.watch is not None:
             self.watch.takes(request)
-        call.watchdog = self.clock.after(request.left_ms - self.limits.answer_margin_ms,
-                                         lambda: self._unanswered(name))
-        self._post(api.SetupRequest(name, request.service_class, request.left_ms, request.first_choice,
-                                    request.key, request.tenant, was_cut=request.was_cut))
+        call.watchdog = self.clock.after(request.left_ms - self.limits.answer_margin_ms, lambda: self._unanswered(name))
+        self._post(
+            api.SetupRequest(
+                name,
+                request.service_class,
+                request.left_ms,
+                request.first_choice,
+                request.key,
+                request.tenant,
+                was_cut=request.was_cut,
+            )
+        )
         return True
 
     def fail(self, name: str) -> None:
@@ -402,8 +426,9 @@
             # Guards against calls at a server that drains: it may take no connection of another process, so that
             # only this one can hear how they end.
             kept = not self.servers.forget(attempt)
-            found.append(Standing(name, call.request.service_class, attempt.server, attempt.sent_at, call.caller.host,
-                                  kept))
+            found.append(
+                Standing(name, call.request.service_class, attempt.server, attempt.sent_at, call.caller.host, kept)
+            )
             if not kept:
                 # It does not count as over: what is heard of it from now on is for the other process.
                 del self.calls[name]
--- a/sageweir/handover.py
+++ b/sageweir/handover.py
@@ -98,8 +98,15 @@
 
 
 Word = Hello | Known | Standing | Yours | Passed | Told | Over
-_WORDS: dict[str, type] = {"hello": Hello, "known": Known, "standing": Standing, "yours": Yours, "passed": Passed,
-                           "told": Told, "over": Over}
+_WORDS: dict[str, type] = {
+    "hello": Hello,
+    "known": Known,
+    "standing": Standing,
+    "yours": Yours,
+    "passed": Passed,
+    "told": Told,
+    "over": Over,
+}
 _MESSAGE = 16 * 1024  # characters; what callers and servers may send
 _NAMES = {kind: name for name, kind in _WORDS.items()}
 
@@ -145,17 +152,27 @@
 
 def _server(raw: Any) -> api.ServerLearned:
     return api.ServerLearned(
-        _text(raw["name"]), _number(raw["started_ms"]), _maybe(_number, raw["floor"]), _number(raw["current"]),
-        _maybe(_number, raw["max_rate"]), _number(raw["hold_back"], most=1.0), _number(raw["errors"], most=1.0),
-        _whole(raw["bad"], 0, 1 << 30), _number(raw["closed_until"]),
-        tuple(_number(rate) for rate in _rows(raw["rates"], 256)), tuple(_number(r) for r in _rows(raw["sent"], 256)))
+        _text(raw["name"]),
+        _number(raw["started_ms"]),
+        _maybe(_number, raw["floor"]),
+        _number(raw["current"]),
+        _maybe(_number, raw["max_rate"]),
+        _number(raw["hold_back"], most=1.0),
+        _number(raw["errors"], most=1.0),
+        _whole(raw["bad"], 0, 1 << 30),
+        _number(raw["closed_until"]),
+        tuple(_number(rate) for rate in _rows(raw["rates"], 256)),
+        tuple(_number(r) for r in _rows(raw["sent"], 256)),
+    )
 
 
 def _learned(raw: Any) -> api.Learned:
     return api.Learned(
-        _number(raw["arrived"]), _number(raw["first"]),
+        _number(raw["arrived"]),
+        _number(raw["first"]),
         tuple((_whole(n, -(1 << 31), 1 << 31), _number(rate)) for n, rate in _rows(raw["named"], 10_000)),
-        tuple(_server(row) for row in _rows(raw["servers"], 10_000)))
+        tuple(_server(row) for row in _rows(raw["servers"], 10_000)),
+    )
 
 
 def decode(line: bytes) -> Word:
@@ -170,25 +187,41 @@
         if kind is Known:
             return Known(None if raw["learned"] is None else _learned(raw["learned"]))
         if kind is Standing:
-            return Standing(_text(raw["call"]), _text(raw["service_class"]), _text(raw["server"]),
-                            _number(raw["since"]), _text(raw["host"]), _flag(raw["kept"]))
+            return Standing(
+                _text(raw["call"]),
+                _text(raw["service_class"]),
+                _text(raw["server"]),
+                _number(raw["since"]),
+                _text(raw["host"]),
+                _flag(raw["kept"]),
+            )
         if kind is Passed:
             return Passed(
-                _text(raw["rest"], _MESSAGE), _flag(raw["spoke"]), _flag(raw["served"]),
-                _whole(raw["faults"], 0, 1 << 30), _number(raw["opened_at"]), _number(raw["heard_at"]),
+                _text(raw["rest"], _MESSAGE),
+                _flag(raw["spoke"]),
+                _flag(raw["served"]),
+                _whole(raw["faults"], 0, 1 << 30),
+                _number(raw["opened_at"]),
+                _number(raw["heard_at"]),
                 _maybe(_number, raw["begun_at"]),
                 tuple(_text(call) for call in _rows(raw["standing"], 100_000)),
-                tuple((_text(call), _text(name)) for call, name in _rows(raw["owed"], 100_000)))
+                tuple((_text(call), _text(name)) for call, name in _rows(raw["owed"], 100_000)),
+            )
         if kind is Told:
             fields, text = raw["fields"], raw["text"]
             if not isinstance(fields, dict) or len(fields) > 16:
                 raise HandoverError(f"not a few fields: {fields!r:.40}")
-            return Told(_text(raw["call"]), _text(raw["word"]), _whole(raw["cause"], 0, 1 << 31),
-                        {_text(k): _text(v, _MESSAGE) for k, v in fields.items()},
-                        None if text is None else _text(text, _MESSAGE))
+            return Told(
+                _text(raw["call"]),
+                _text(raw["word"]),
+                _whole(raw["cause"], 0, 1 << 31),
+                {_text(k): _text(v, _MESSAGE) for k, v in fields.items()},
+                None if text is None else _text(text, _MESSAGE),
+            )
         if kind is Over:
-            return Over(_text(raw["call"]), _whole(raw["cause"], 0, 1 << 31), _flag(raw["by_caller"]),
-                        _flag(raw["returned"]))
+            return Over(
+                _text(raw["call"]), _whole(raw["cause"], 0, 1 << 31), _flag(raw["by_caller"]), _flag(raw["returned"])
+            )
         return Yours()
     except (ValueError, TypeError, KeyError, IndexError) as error:
         if isinstance(error, HandoverError):
@@ -207,7 +240,7 @@
         self._rest += data
         while (end := self._rest.find(b"\n")) >= 0:
             line = bytes(self._rest[:end])
-            del self._rest[:end + 1]
+            del self._rest[: end + 1]
             yield decode(line)
         if len(self._rest) > self._max:
             raise HandoverError(f"a message longer than {self._max} bytes")
--- a/sageweir/lab/changeaudit.py
+++ b/sageweir/lab/changeaudit.py
@@ -11,8 +11,7 @@
 Row = Mapping[str, Any]
 
 
-def check_changes(audits: Iterable[Sequence[Row]], late_ms: float,
-                  stopped: Collection[int] = ()) -> list[str]:
+def check_changes(audits: Iterable[Sequence[Row]], late_ms: float, stopped: Collection[int] = ()) -> list[str]:
     """Violations. An audit is one process's rows, in order, of one clock for all (real_ms). late_ms: how long after a
     change has ended a member may run it at most; stopped: boots that were stopped at some time, which may be later.
     """
@@ -46,25 +45,39 @@
     for step in sorted(by_step):
         book = next(book for book in books if book["step"] == step)
         if last is not None and (book["number"] < last["number"] or book["floor"] < last["floor"]):
-            found.append(f"step {step}: change {book['number']} ({book['floor']}) after {last['number']} "
-                         f"({last['floor']})")
-        if last is not None and book["number"] == last["number"] and last["phase"] in ("halted", "done", "back") and (
-                book["phase"] in ("run", "doubt")):
+            found.append(
+                f"step {step}: change {book['number']} ({book['floor']}) after {last['number']} ({last['floor']})"
+            )
+        if (
+            last is not None
+            and book["number"] == last["number"]
+            and last["phase"] in ("halted", "done", "back")
+            and (book["phase"] in ("run", "doubt"))
+        ):
             found.append(f"step {step}: change {book['number']} came back")
         last = book
     return found
 
 
-def _member(rows: Sequence[Row], begun: Mapping[tuple[int, str], float], ended: Mapping[int, float],
-            proven: set[tuple[int, str]], late_ms: float, stopped: Collection[int]) -> list[str]:
+def _member(
+    rows: Sequence[Row],
+    begun: Mapping[tuple[int, str], float],
+    ended: Mapping[int, float],
+    proven: set[tuple[int, str]],
+    late_ms: float,
+    stopped: Collection[int],
+) -> list[str]:
     found: list[str] = []
     calls: dict[str, set[int]] = defaultdict(set)
     applied = [row for row in rows if row["do"] == "applied"]
     for row in rows:
         if row["do"] == "sent":
             calls[row["call"]].add(row["rules"])
-    found += [f"{rows[0]['me']}: call {call} had attempts under {sorted(rules)}" for call, rules in calls.items()
-              if len(rules) > 1]
+    found += [
+        f"{rows[0]['me']}: call {call} had attempts under {sorted(rules)}"
+        for call, rules in calls.items()
+        if len(rules) > 1
+    ]
     for i, row in enumerate(applied):
         name, number = row["me"], row["number"]
         if row["unproven"]:
--- a/sageweir/lab/changefleet.py
+++ b/sageweir/lab/changefleet.py
@@ -59,8 +59,12 @@
 async def real(seed: int) -> dict[str, Any]:
     """One script; then the latest change ends, and another is done. Raises Missed."""
     script, draw = script_for(seed), Random(seed)
-    async with Load() as load, FleetRig(NAMES, script, seed=seed, electors=ELECTORS, changes=QUICK, zones=FLEET[1],
-                                        feed=load.feed.port) as rig:
+    async with (
+        Load() as load,
+        FleetRig(
+            NAMES, script, seed=seed, electors=ELECTORS, changes=QUICK, zones=FLEET[1], feed=load.feed.port
+        ) as rig,
+    ):
         await ready(rig)
         load.call(rig, NAMES, RATE, SCRIPT_PERIODS * rig.period_ms / 1000)
         proposing = asyncio.ensure_future(_proposals(rig, draw))
@@ -80,8 +84,12 @@
         if odd := [row for row in rows if row["do"] == "disagreed"]:
             raise Missed(f"dual reads disagree: {odd[:2]}")
         books = {(row["number"], row["phase"]) for row in rows if row["do"] == "book"}
-        return {"faults": len(script) - len(NAMES), "calls": len(load.seen.words), "changes": last,
-                "phases": Counter(phase for _, phase in books)}
+        return {
+            "faults": len(script) - len(NAMES),
+            "calls": len(load.seen.words),
+            "changes": last,
+            "phases": Counter(phase for _, phase in books),
+        }
 
 
 async def fleet(faults: int, at_once: int, first: int) -> Report:
@@ -91,7 +99,11 @@
     phases: Counter[str] = Counter()
     for play in found:
         phases.update(play["phases"])
-    report.figures |= {"plays": len(found), **{key: sum(play[key] for play in found) for key in (
-        "faults", "calls", "changes")}, "phases": dict(phases), "wrong": wrong}
+    report.figures |= {
+        "plays": len(found),
+        **{key: sum(play[key] for play in found) for key in ("faults", "calls", "changes")},
+        "phases": dict(phases),
+        "wrong": wrong,
+    }
     report.bound("plays with a violation, or whose fleet did not come to agree", len(wrong), 1)
     return report
--- a/sageweir/lab/changesim.py
+++ b/sageweir/lab/changesim.py
@@ -29,8 +29,16 @@
 ZONES = ("z0", "z1")
 LEASE = Timing(lease_ms=600.0)
 TERMS = Terms(permit_ms=900.0)
-BOUNDS = Bounds(window_ms=100.0, least_ms=300.0, least_calls=5, block_ms=300.0, settle_ms=50.0, soak_ms=300.0, pairs=16,
-                longest_ms=60_000.0)
+BOUNDS = Bounds(
+    window_ms=100.0,
+    least_ms=300.0,
+    least_calls=5,
+    block_ms=300.0,
+    settle_ms=50.0,
+    soak_ms=300.0,
+    pairs=16,
+    longest_ms=60_000.0,
+)
 BEAT_MS, DOWN_MS = LEASE.lease_ms / 6, 900.0
 
 
@@ -65,11 +73,20 @@
     cut: the first member that runs it is cut off from all for eight leases, and serves.
     """
 
-    def __init__(self, seed: int, members: int = 6, electors: int = 3, faults: Mapping[int, str] | None = None,
-                 worse: float = 0.0, cut: bool = False, trial: bool = False,
-                 keeper: Callable[..., Keeper] = Keeper,
-                 writer: Callable[..., Writer] = Writer, engine: Callable[..., Engine] = Engine,
-                 follower: Callable[..., Follower] = Follower) -> None:
+    def __init__(
+        self,
+        seed: int,
+        members: int = 6,
+        electors: int = 3,
+        faults: Mapping[int, str] | None = None,
+        worse: float = 0.0,
+        cut: bool = False,
+        trial: bool = False,
+        keeper: Callable[..., Keeper] = Keeper,
+        writer: Callable[..., Writer] = Writer,
+        engine: Callable[..., Engine] = Engine,
+        follower: Callable[..., Follower] = Follower,
+    ) -> None:
         self.faults, self.worse, self.points = dict(faults or {}), worse, 0
         self.bounds = replace(BOUNDS, least_ms=4000.0) if worse else BOUNDS
         if trial:
@@ -98,8 +115,11 @@
         writer = make_writer(name, self.electors, self.timing.lease_ms, self.draw.getrandbits(40))
         draw = Random(self.draw.getrandbits(40))
         engine = make_engine(name, writer, TERMS, self.bounds, self._gate, draw, self.plans)
-        keeper = make_keeper(name, self.electors, self.timing.lease_ms, now, boot,
-                             mine.kept) if name in self.electors else None
+        keeper = (
+            make_keeper(name, self.electors, self.timing.lease_ms, now, boot, mine.kept)
+            if name in self.electors
+            else None
+        )
         follower = make_follower(frozenset({"rules"}), mine.known)
         site = self.sites[process] = Site(keeper, engine, follower, Fence(), mine, began=now)
         follower.ready = dict.fromkeys(mine.blobs, "rules")
@@ -168,7 +188,8 @@
         site = self.sites[process]
         keeper, now = site.keeper, self.clock(process)
         if isinstance(message, (Claim, Put, Held, Recount, _Word)) and self.point(
-                process, f"receive {_kind(message)}") in ("crash before", "lost"):
+            process, f"receive {_kind(message)}"
+        ) in ("crash before", "lost"):
             return []
         match message:
             case Claim() if keeper is not None:
@@ -298,8 +319,17 @@
         site.count += 3
         failed = round(site.count * self.worse) if follower.has else 0
         rows = (Row(site.count, site.count - failed, 0, 0, failed, site.count),)
-        report = Report(process.seeker.boot, follower.has, follower.number, follower.known.floor,
-                        int(now - site.began), rows, 1000, 0, follower.why)
+        report = Report(
+            process.seeker.boot,
+            follower.has,
+            follower.number,
+            follower.known.floor,
+            int(now - site.began),
+            rows,
+            1000,
+            0,
+            follower.why,
+        )
         holder = self.holder()
         if holder is not None:
             self._send(process, holder.name, _Word(0, now, report))
@@ -426,8 +456,11 @@
             if not process.running or process.stopped:
                 return False
             follower = self.sites[process].follower
-            if follower.known.floor < book.floor or follower.running is not None or follower.known.of(
-                    "rules") != book.of("rules"):
+            if (
+                follower.known.floor < book.floor
+                or follower.running is not None
+                or follower.known.of("rules") != book.of("rules")
+            ):
                 return False
         return True
 
@@ -456,8 +489,14 @@
     by_name: dict[str, int]
 
 
-def play(seed: int, faults: Mapping[int, str] | None = None, worse: float = 0.0, cut: bool = False,
-         trial: bool = False, **makers: Any) -> Played:
+def play(
+    seed: int,
+    faults: Mapping[int, str] | None = None,
+    worse: float = 0.0,
+    cut: bool = False,
+    trial: bool = False,
+    **makers: Any,
+) -> Played:
     """Propose one change, wait until it is done or turned back, then another; faults at one point, or none. trial:
     either is switched off and on on the way.
     """
--- a/sageweir/lab/client.py
+++ b/sageweir/lab/client.py
@@ -26,8 +26,12 @@
 TYPE = "type.googleapis.com/envoy.config."
 LISTENER, ROUTE = TYPE + "listener.v3.Listener", TYPE + "route.v3.RouteConfiguration"
 CLUSTER, ENDPOINT = TYPE + "cluster.v3.Cluster", TYPE + "endpoint.v3.ClusterLoadAssignment"
-MESSAGES: dict[str, Any] = {LISTENER: listener_pb2.Listener, ROUTE: route_pb2.RouteConfiguration,
-                            CLUSTER: cluster_pb2.Cluster, ENDPOINT: endpoint_pb2.ClusterLoadAssignment}
+MESSAGES: dict[str, Any] = {
+    LISTENER: listener_pb2.Listener,
+    ROUTE: route_pb2.RouteConfiguration,
+    CLUSTER: cluster_pb2.Cluster,
+    ENDPOINT: endpoint_pb2.ClusterLoadAssignment,
+}
 WRAPPER = "type.googleapis.com/envoy.service.discovery.v3.Resource"
 FEATURES = ("xds.config.supports-resource-ttl", "xds.config.supports-resource-in-sotw")
 
@@ -68,8 +72,9 @@
             asked.append(self._request(ROUTE, subscribe=routes))
         return asked
 
-    def _request(self, type_url: str, nonce: str = "", error: str = "", first: bool = False,
-                 subscribe: list[str] | None = None) -> Any:
+    def _request(
+        self, type_url: str, nonce: str = "", error: str = "", first: bool = False, subscribe: list[str] | None = None
+    ) -> Any:
         kind = discovery_pb2.DeltaDiscoveryRequest if self.delta else discovery_pb2.DiscoveryRequest
         request = kind(type_url=type_url, response_nonce=nonce)
         if not self.delta:  # each request tells all names, so it must say what it has seen
@@ -91,8 +96,7 @@
         return request
 
     def take(self, data: bytes, now_ms: float) -> tuple[list[Any], bool]:
-        """Take a response: the requests to send (its ACK or NACK first), and whether anything but a lease changed.
-        """
+        """Take a response: the requests to send (its ACK or NACK first), and whether anything but a lease changed."""
         kind = discovery_pb2.DeltaDiscoveryResponse if self.delta else discovery_pb2.DiscoveryResponse
         response = kind.FromString(data)
         type_url, held = response.type_url, self.held.setdefault(response.type_url, {})
@@ -167,9 +171,15 @@
         routes = self.held.get(ROUTE, {})
         if not routes or not self.held.get(LISTENER):
             return None
-        cluster = next((r.route.cluster for host in next(iter(routes.values())).message.virtual_hosts
-                        for r in host.routes
-                        if not r.match.headers or r.match.headers[0].string_match.exact == service_class), "")
+        cluster = next(
+            (
+                r.route.cluster
+                for host in next(iter(routes.values())).message.virtual_hosts
+                for r in host.routes
+                if not r.match.headers or r.match.headers[0].string_match.exact == service_class
+            ),
+            "",
+        )
         held = self.held.get(ENDPOINT, {}).get(cluster)
         if held is None or cluster not in self.held.get(CLUSTER, {}) or held.lapses_ms <= now_ms:
             return None
--- a/sageweir/lab/coldfleet.py
+++ b/sageweir/lab/coldfleet.py
@@ -21,8 +21,10 @@
 WORK_MS, COLD_MS, WAY_MS, HOLD_MS = 20.0, 10_000.0, 5.0, 4000.0
 RULE = (3.0, 1000.0)
 MOVE_MS = (100.0, 1000.0)  # callers find another member, or one that joined, so late
-CLASSES = (api.ServiceClass("status-check", 1.0, 0.1, 1500.0, 9000.0),
-           api.ServiceClass("release-check", 8.0, 0.25, 1200.0, 6000.0))
+CLASSES = (
+    api.ServiceClass("status-check", 1.0, 0.1, 1500.0, 9000.0),
+    api.ServiceClass("release-check", 8.0, 0.25, 1200.0, 6000.0),
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -40,9 +42,20 @@
 
     def __init__(self, fleet: ColdFleet, node: Node, gateways: int) -> None:
         self.fleet, self.node, self.told = fleet, node, gateways
-        settings = api.Settings(CLASSES, 0, gateways, release_guard_ms=300.0, resend_ms=400.0, cold_from=0.29,
-                                cold_ms=COLD_MS, fall_multiple=RULE[0], fall_ms=RULE[1], drain_grace_ms=250.0,
-                                max_attempts=4, may_cancel=True)
+        settings = api.Settings(
+            CLASSES,
+            0,
+            gateways,
+            release_guard_ms=300.0,
+            resend_ms=400.0,
+            cold_from=0.29,
+            cold_ms=COLD_MS,
+            fall_multiple=RULE[0],
+            fall_ms=RULE[1],
+            drain_grace_ms=250.0,
+            max_attempts=4,
+            may_cancel=True,
+        )
         self.module = Controller(settings, fleet.draw.getrandbits(32))
         self.handle(api.ListChange(fleet.listed(), complete=True))
 
@@ -125,8 +138,10 @@
         self.servers[name] = Server(name, Processor(self.model, started), ColdRule(self.model, started, *RULE))
 
     def listed(self) -> tuple[api.Server, ...]:
-        return tuple(api.Server(name, i, api.ServerState.IN_SERVICE, max(0.0, server.processor.started_ms))
-                     for i, (name, server) in enumerate(self.servers.items()))
+        return tuple(
+            api.Server(name, i, api.ServerState.IN_SERVICE, max(0.0, server.processor.started_ms))
+            for i, (name, server) in enumerate(self.servers.items())
+        )
 
     def tells_rate(self, server: Server) -> float | None:
         """What a server says that it takes from all senders, a second."""
@@ -149,8 +164,7 @@
     def burst(self, names: Sequence[str], within_ms: float) -> None:
         """All these join within so long."""
         for name in names:
-            self.sim.after(self.draw.uniform(0.0, within_ms),
-                           partial(self.join, name, self.draw.uniform(*MOVE_MS)))
+            self.sim.after(self.draw.uniform(0.0, within_ms), partial(self.join, name, self.draw.uniform(*MOVE_MS)))
 
     def die(self, names: Sequence[str]) -> None:
         """All these are killed now; their callers go elsewhere a little later."""
@@ -202,7 +216,7 @@
         fleet.burst(fleet.sim.names[members:], 1000.0)
         fleet.run_s(0.5)
     else:
-        fleet.die(fleet.sim.names[members // 2:])
+        fleet.die(fleet.sim.names[members // 2 :])
         fleet.run_s(2.0)
     fleet.cold_start("cold")
     fleet.run_s(COLD_MS / 1000)
@@ -210,6 +224,9 @@
     took = len(server.times)
     fleet.run_s(8.0)
     could = sum(fleet.model.warmth(t * 100.0) * 100.0 / WORK_MS for t in range(int(COLD_MS / 100)))
-    return {"worst_of_budget": round(server.rule.worst, 3), "set_ups": took,
-            "of_its_capacity": round(took / could, 3),
-            "in_time": round((fleet.in_time - in_time) / (fleet.offered - offered), 4)}
+    return {
+        "worst_of_budget": round(server.rule.worst, 3),
+        "set_ups": took,
+        "of_its_capacity": round(took / could, 3),
+        "in_time": round((fleet.in_time - in_time) / (fleet.offered - offered), 4),
+    }
--- a/sageweir/lab/coldstart.py
+++ b/sageweir/lab/coldstart.py
@@ -17,8 +17,17 @@
     work_ms, cold_ms = 20.0, 6000.0
     capacity = 1000 / work_ms
     total = load * servers * capacity
-    report = Report("coldstart", {"proxies": proxies, "servers": servers, "load": load, "set_ups_per_s": total,
-                                  "cold_ms": cold_ms, "capacity_per_s": capacity})
+    report = Report(
+        "coldstart",
+        {
+            "proxies": proxies,
+            "servers": servers,
+            "load": load,
+            "set_ups_per_s": total,
+            "cold_ms": cold_ms,
+            "capacity_per_s": capacity,
+        },
+    )
     stated = {"capacity_per_s": capacity, "setups_per_s": {name: total * part for name, part in CLASSES}}
     for case, more in (("assumed_demand", {}), ("stated_demand", {"demand": stated})):
         rig = Rig(servers, cold_ms=cold_ms, work_ms=work_ms, **more)
@@ -48,13 +57,19 @@
                 back_s = await rig.all_hold(proxies)
                 await asyncio.sleep(max(0.0, cold_ms / 1000 + 0.5 - (time.time() - started / 1000)))
                 found = await rig.machines.ask(do="cold", name=new)
-                worst[step] = {"worst_of_budget": round(found["worst"], 3), "set_ups": found["set_ups"],
-                               "worst_after_ms": round(found["at_ms"] - started), "all_back_s": round(back_s, 2)}
+                worst[step] = {
+                    "worst_of_budget": round(found["worst"], 3),
+                    "set_ups": found["set_ups"],
+                    "worst_after_ms": round(found["at_ms"] - started),
+                    "all_back_s": round(back_s, 2),
+                }
                 report.bound(f"{case}, {step}: worst window, part of the budget", found["worst"], 1.0)
                 report.bound(f"{case}, {step}: set-ups missing at the cold server", 1.0 - found["set_ups"], 1.0)
             figures = await rig.each(do="figures")
-            report.figures[case] = worst | {"sent": sum(f["sent"] for f in figures),
-                                            "no_route_or_dropped": sum(f["no_route"] for f in figures)}
+            report.figures[case] = worst | {
+                "sent": sum(f["sent"] for f in figures),
+                "no_route_or_dropped": sum(f["no_route"] for f in figures),
+            }
         finally:
             await rig.stop()
     return report
--- a/sageweir/lab/commands.py
+++ b/sageweir/lab/commands.py
@@ -19,15 +19,32 @@
 _processes = click.option("--processes", default=PROCESSES, show_default=True, help="Of stand-in proxies.")
 
 
-def _finish(work: Coroutine[Any, Any, Report], json_path: Path | None, plot: Path | None, title: str,
-            bound: float, axis: str = "ms from notice", unit: str = "ms") -> None:
+def _finish(
+    work: Coroutine[Any, Any, Report],
+    json_path: Path | None,
+    plot: Path | None,
+    title: str,
+    bound: float,
+    axis: str = "ms from notice",
+    unit: str = "ms",
+) -> None:
     report = asyncio.run(work)
     click.echo(report.text())
     if json_path is not None:
         report.write(json_path)
     if plot is not None:
-        plot_ecdf(plot, title, {name.strip("_").removesuffix(f"_{unit}"): values
-                                for name, values in report.figures.items() if name.startswith("_")}, bound, axis, unit)
+        plot_ecdf(
+            plot,
+            title,
+            {
+                name.strip("_").removesuffix(f"_{unit}"): values
+                for name, values in report.figures.items()
+                if name.startswith("_")
+            },
+            bound,
+            axis,
+            unit,
+        )
     sys.exit(0 if report.kept else 1)
 
 
@@ -42,8 +59,9 @@
     @_processes
     @_json
     @_plot
-    def drain(proxies: int, servers: int, drains: int, rate: float, processes: int, json_path: Path | None,
-              plot: Path | None) -> None:
+    def drain(
+        proxies: int, servers: int, drains: int, rate: float, processes: int, json_path: Path | None, plot: Path | None
+    ) -> None:
         """From the notice of a drain to silence at the server; sound and stalled streams, with and without leases."""
         from sageweir.lab.drain import BOUND_MS
         from sageweir.lab.drain import drain as run
@@ -58,8 +76,15 @@
     @_processes
     @_json
     @_plot
-    def fanout(proxies: int, servers: int, changes: int, workers: int, processes: int, json_path: Path | None,
-               plot: Path | None) -> None:
+    def fanout(
+        proxies: int,
+        servers: int,
+        changes: int,
+        workers: int,
+        processes: int,
+        json_path: Path | None,
+        plot: Path | None,
+    ) -> None:
         """From a change to the last ACK over many streams; bytes and memory; beside polling."""
         from sageweir.lab.fanout import fanout as run
 
@@ -71,20 +96,44 @@
     @click.option("--seeds", default=100, show_default=True, help="Random fault scripts in virtual time.")
     @click.option("--hours", default=0.1, show_default=True, help="Of each of 32 members, for wrong deaths.")
     @click.option("--minutes", default=0.0, show_default=True, help="Of loss between real processes.")
-    @click.option("--size", "sizes", multiple=True, type=int, default=(8, 32, 200), show_default=True,
-                  help="Of simulated fleets; several times.")
-    @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 1), show_default=True,
-                  help="Processes that simulate.")
+    @click.option(
+        "--size",
+        "sizes",
+        multiple=True,
+        type=int,
+        default=(8, 32, 200),
+        show_default=True,
+        help="Of simulated fleets; several times.",
+    )
+    @click.option(
+        "--workers", default=max(1, (os.cpu_count() or 2) - 1), show_default=True, help="Processes that simulate."
+    )
     @_json
     @_plot
-    def view(members: int, whole: bool, seeds: int, hours: float, minutes: float, sizes: tuple[int, ...], workers: int,
-             json_path: Path | None, plot: Path | None) -> None:
+    def view(
+        members: int,
+        whole: bool,
+        seeds: int,
+        hours: float,
+        minutes: float,
+        sizes: tuple[int, ...],
+        workers: int,
+        json_path: Path | None,
+        plot: Path | None,
+    ) -> None:
         """The fleet's view of itself: crash, partition, stalls and random faults; a cold server's start."""
         from sageweir.lab.view import AIM_PERIODS
         from sageweir.lab.view import view as run
 
-        _finish(run(members, seeds, hours, sizes, workers, whole, minutes), json_path, plot, "Crash to known",
-                AIM_PERIODS, "periods from the crash", "periods")
+        _finish(
+            run(members, seeds, hours, sizes, workers, whole, minutes),
+            json_path,
+            plot,
+            "Crash to known",
+            AIM_PERIODS,
+            "periods from the crash",
+            "periods",
+        )
 
     @group.command()
     @click.option("--seeds", default=300, show_default=True, help="Random fault scripts in virtual time.")
@@ -92,19 +141,34 @@
     @click.option("--faults", default=12, show_default=True, help="Between real processes, at least.")
     @click.option("--gaps", default=300, show_default=True, help="Crashes, and as many handings on, in virtual time.")
     @click.option("--whole", is_flag=True, help="All states of larger scopes too; some minutes more.")
-    @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True,
-                  help="Processes that simulate.")
+    @click.option(
+        "--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True, help="Processes that simulate."
+    )
     @click.option("--rigs", default=2, show_default=True, help="Fleets of real processes at once.")
     @_json
     @_plot
-    def duties(seeds: int, first: int, faults: int, gaps: int, whole: bool, workers: int, rigs: int,
-               json_path: Path | None, plot: Path | None) -> None:
+    def duties(
+        seeds: int,
+        first: int,
+        faults: int,
+        gaps: int,
+        whole: bool,
+        workers: int,
+        rigs: int,
+        json_path: Path | None,
+        plot: Path | None,
+    ) -> None:
         """Duties that only one holds: all states, random faults, time without a holder, what it is worth."""
         from sageweir.cluster.duties.elector import Timing
         from sageweir.lab.duties import duties as run
 
-        _finish(run(seeds, faults, gaps, whole, workers, rigs, first), json_path, plot, "Without a holder",
-                Timing().lease_ms)
+        _finish(
+            run(seeds, faults, gaps, whole, workers, rigs, first),
+            json_path,
+            plot,
+            "Without a holder",
+            Timing().lease_ms,
+        )
 
     @group.command()
     @click.option("--seed", default=1, show_default=True, help="Of the plays with faults at points.")
@@ -115,11 +179,22 @@
     @click.option("--fixed", is_flag=True, help="The same beside a gate of fixed bars.")
     @click.option("--members", default=60, show_default=True, help="Of the fleet that the gate watches.")
     @click.option("--uneven", default=0.03, show_default=True, help="Worth by which members differ for good.")
-    @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True,
-                  help="Processes that simulate.")
+    @click.option(
+        "--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True, help="Processes that simulate."
+    )
     @_json
-    def changes(seed: int, every: int, pairs: int, seeds: int, equal: int, fixed: bool, members: int, uneven: float,
-                workers: int, json_path: Path | None) -> None:
+    def changes(
+        seed: int,
+        every: int,
+        pairs: int,
+        seeds: int,
+        equal: int,
+        fixed: bool,
+        members: int,
+        uneven: float,
+        workers: int,
+        json_path: Path | None,
+    ) -> None:
         """Changes in stages: faults at numbered points; the gate over equal and worse versions."""
         from sageweir.lab.changes import changes as run
 
@@ -188,8 +263,9 @@
     @click.option("--every", default=300, show_default=True, help="One point in so many, of each fault; 1: all.")
     @click.option("--seeds", default=100, show_default=True, help="Splits without a fault, and as many with two.")
     @click.option("--numbers", default=200_000, show_default=True, help="Of the large split.")
-    @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True,
-                  help="Processes that simulate.")
+    @click.option(
+        "--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True, help="Processes that simulate."
+    )
     @_json
     def shards(every: int, seeds: int, numbers: int, workers: int, json_path: Path | None) -> None:
         """A shard that splits: faults at points, dual reads, planted faults, and one with many numbers."""
