--- a/sageweir/lab/drain.py
+++ b/sageweir/lab/drain.py
@@ -13,8 +13,9 @@
 STALLED = 0.05
 
 
-async def silence(rig: Rig, proxies: int, servers: int, drains: int, stalled: float,
-                  seed: int) -> tuple[list[float], list[str]]:
+async def silence(
+    rig: Rig, proxies: int, servers: int, drains: int, stalled: float, seed: int
+) -> tuple[list[float], list[str]]:
     """Drain so many servers one after another; ms from each notice to the last set-up there.
 
     In each round a part of the proxies has stopped reading before the notice, and reads on 1 s later.
@@ -53,8 +54,16 @@
 
 async def drain(proxies: int, servers: int, drains: int, rate: float, processes: int) -> Report:
     """200 proxies, 20 servers and 50 drains is the size that the bound is meant for."""
-    report = Report("drain", {"proxies": proxies, "servers": servers, "drains": drains,
-                              "set_ups_per_s": rate * proxies, "stalled_part": STALLED})
+    report = Report(
+        "drain",
+        {
+            "proxies": proxies,
+            "servers": servers,
+            "drains": drains,
+            "set_ups_per_s": rate * proxies,
+            "stalled_part": STALLED,
+        },
+    )
     cases = (("sound", 0.0, True), ("stalled_leased", STALLED, True), ("stalled_unleased", STALLED, False))
     for case, stalled, leases in cases:
         rig = Rig(servers, work_ms=1.0)
@@ -69,12 +78,16 @@
         finally:
             await rig.stop()
         report.figures[case] = {
-            "silence_ms": spread(waits), "late": late, "service_cpu": round(busy, 3),
-            "sent": sum(f["sent"] for f in figures), "lapsed": sum(f["lapsed"] for f in figures),
-            "no_route": sum(f["no_route"] for f in figures), "streams": sum(f["streams"] for f in figures)}
+            "silence_ms": spread(waits),
+            "late": late,
+            "service_cpu": round(busy, 3),
+            "sent": sum(f["sent"] for f in figures),
+            "lapsed": sum(f["lapsed"] for f in figures),
+            "no_route": sum(f["no_route"] for f in figures),
+            "streams": sum(f["streams"] for f in figures),
+        }
         report.figures[f"_{case}_ms"] = [round(w, 2) for w in waits]
         if case != "stalled_unleased":
             report.bound(f"{case}: worst from notice to silence, ms", max(waits), BOUND_MS)
-            report.bound(f"{case}: proxies that had to come back", sum(f["streams"] for f in figures) - proxies,
-                         1.0)
+            report.bound(f"{case}: proxies that had to come back", sum(f["streams"] for f in figures) - proxies, 1.0)
     return report
--- a/sageweir/lab/duties.py
+++ b/sageweir/lab/duties.py
@@ -28,11 +28,17 @@
 
 # Pieces that run in a process each
 
+
 def states(scope: Scope) -> dict[str, Any]:
     """All states of a scope."""
     found = explore(scope)
-    return {"scope": {key: value for key, value in asdict(scope).items() if value and key != "prune"},
-            "states": found.states, "steps": found.steps, "whole": found.whole, "violation": found.violation}
+    return {
+        "scope": {key: value for key, value in asdict(scope).items() if value and key != "prune"},
+        "states": found.states,
+        "steps": found.steps,
+        "whole": found.whole,
+        "violation": found.violation,
+    }
 
 
 def seeds(given: tuple[int, int]) -> dict[str, Any]:
@@ -87,6 +93,7 @@
 
 # Real processes
 
+
 def script_for(seed: int) -> list[Fault]:
     """A script by chance for five processes. One elector's disk may be lost, others' may be older than they said."""
     script = []
@@ -113,8 +120,13 @@
     return {"faults": len(script) if some is not None else len(script) - len(NAMES), "letters": letters, "rows": rows}
 
 
-async def plays(real: Callable[[int], Awaitable[dict[str, Any]]], script_for: Callable[[int], list[Fault]], faults: int,
-                at_once: int, first: int) -> tuple[list[dict[str, Any]], list[str]]:
+async def plays(
+    real: Callable[[int], Awaitable[dict[str, Any]]],
+    script_for: Callable[[int], list[Fault]],
+    faults: int,
+    at_once: int,
+    first: int,
+) -> tuple[list[dict[str, Any]], list[str]]:
     """Seeds, some rigs at once, until they had so many faults, or three went wrong: what they found, what was wrong."""
     found: list[dict[str, Any]] = []
     wrong: list[str] = []
@@ -138,13 +150,18 @@
     rows: Counter[str] = Counter()
     for play in found:
         rows.update(play["rows"])
-    return {"plays": len(found), "faults": sum(play["faults"] for play in found), "wrong": wrong,
-            "audit_rows": dict(rows), "letters_a_second_for_5_members_2_duties": round(
-                mean([play["letters"] for play in found] or [0.0]), 1)}
-
-
-async def duties(seed_count: int, faults: int, gap_count: int, whole: bool, processes: int, rigs: int,
-                 first: int = 1) -> Report:
+    return {
+        "plays": len(found),
+        "faults": sum(play["faults"] for play in found),
+        "wrong": wrong,
+        "audit_rows": dict(rows),
+        "letters_a_second_for_5_members_2_duties": round(mean([play["letters"] for play in found] or [0.0]), 1),
+    }
+
+
+async def duties(
+    seed_count: int, faults: int, gap_count: int, whole: bool, processes: int, rigs: int, first: int = 1
+) -> Report:
     """All of it. seed_count: random scripts in virtual time; faults: between real processes, at least; whole: larger
     scopes of all states, some minutes more.
     """
@@ -152,11 +169,18 @@
     chunk = max(1, min(100, -(-seed_count // processes)))
     with ProcessPoolExecutor(processes) as pool:
         scopes = [pool.submit(states, scope) for scope in ((*SCOPES, *LONG) if whole else SCOPES)]
-        worths = [pool.submit(worth, (case, members, flag, seed)) for members in reversed(WORTH)
-                  for case in ("silent", "cold") for flag in (False, True) for seed in range(1, 4 if whole else 2)]
+        worths = [
+            pool.submit(worth, (case, members, flag, seed))
+            for members in reversed(WORTH)
+            for case in ("silent", "cold")
+            for flag in (False, True)
+            for seed in range(1, 4 if whole else 2)
+        ]
         gap_runs = [pool.submit(gaps, (at, 25)) for at in range(0, gap_count, 25)]
-        runs = [pool.submit(seeds, (at, min(chunk, first + seed_count - at)))
-                for at in range(first, first + seed_count, chunk)]
+        runs = [
+            pool.submit(seeds, (at, min(chunk, first + seed_count - at)))
+            for at in range(first, first + seed_count, chunk)
+        ]
         _real(report, await reals(faults, rigs, first))
         waited = asyncio.get_running_loop()
         for show, jobs in ((_states, scopes), (_seeds, runs), (_gaps, gap_runs), (_worth, worths)):
@@ -166,20 +190,27 @@
 
 def _real(report: Report, found: dict[str, Any]) -> None:
     report.figures["processes"] = found | {"wrong": found["wrong"][:3]}
-    report.bound(f"plays of {found['plays']} between processes with a violation, or without a holder in the end",
-                 len(found["wrong"]), 1)
+    report.bound(
+        f"plays of {found['plays']} between processes with a violation, or without a holder in the end",
+        len(found["wrong"]),
+        1,
+    )
 
 
 def _states(report: Report, found: list[dict[str, Any]]) -> None:
     report.figures["all_states"] = found
-    report.bound("scopes with a violation, or not seen whole",
-                 sum(bool(one["violation"]) or not one["whole"] for one in found), 1)
+    report.bound(
+        "scopes with a violation, or not seen whole",
+        sum(bool(one["violation"]) or not one["whole"] for one in found),
+        1,
+    )
 
 
 def _seeds(report: Report, runs: list[dict[str, Any]]) -> None:
     wrong = [text for one in runs for text in one["wrong"]]
     report.figures["seeds"] = {key: sum(one[key] for one in runs) for key in ("seeds", "faults", "acts", "refused")} | {
-        "wrong": wrong[:5]}
+        "wrong": wrong[:5]
+    }
     report.bound("seeds with a violation, or without a holder in the end", len(wrong), 1)
 
 
@@ -189,26 +220,42 @@
         values = [value for one in runs for value in one[what]]
         report.figures[f"gap_{what}_ms"] = spread(values)
         report.figures[f"_gap, {what}_ms"] = values
-        report.bound(f"without a holder, {what}, p99 (round trip {ROUND_MS:.0f} ms, lease {lease:.0f} ms)",
-                     percentile(values, 0.99), below)
+        report.bound(
+            f"without a holder, {what}, p99 (round trip {ROUND_MS:.0f} ms, lease {lease:.0f} ms)",
+            percentile(values, 0.99),
+            below,
+        )
 
 
 def _worth(report: Report, found: list[dict[str, Any]]) -> None:
     rows: dict[str, dict[str, float]] = {}
     for one in found:
         key = f"{one['case']}, {one['members']} members, {'with' if one['duties'] else 'without'} duties"
-        same = [two for two in found if (two["case"], two["members"], two["duties"])
-                == (one["case"], one["members"], one["duties"])]
-        rows[key] = {name: round(mean(two[name] for two in same), 3) for name in one
-                     if name not in ("case", "members", "duties")}
+        same = [
+            two
+            for two in found
+            if (two["case"], two["members"], two["duties"]) == (one["case"], one["members"], one["duties"])
+        ]
+        rows[key] = {
+            name: round(mean(two[name] for two in same), 3) for name in one if name not in ("case", "members", "duties")
+        }
     report.figures["worth"] = dict(sorted(rows.items()))
     for members in WORTH:
-        report.bound(f"{members} members: set-ups lost to a silent server once it is known, with duties over without",
-                     rows[f"silent, {members} members, with duties"]["tests"]
-                     / max(1.0, rows[f"silent, {members} members, without duties"]["tests"]), 0.5)
-        report.bound(f"{members} members: a cold server's worst window with duties, part of its budget",
-                     rows[f"cold, {members} members, with duties"]["worst_of_budget"], 1.0)
+        report.bound(
+            f"{members} members: set-ups lost to a silent server once it is known, with duties over without",
+            rows[f"silent, {members} members, with duties"]["tests"]
+            / max(1.0, rows[f"silent, {members} members, without duties"]["tests"]),
+            0.5,
+        )
+        report.bound(
+            f"{members} members: a cold server's worst window with duties, part of its budget",
+            rows[f"cold, {members} members, with duties"]["worst_of_budget"],
+            1.0,
+        )
         for case in ("silent", "cold"):
-            report.bound(f"{members} members, {case}: calls in time lost beside no duties",
-                         rows[f"{case}, {members} members, without duties"]["in_time"]
-                         - rows[f"{case}, {members} members, with duties"]["in_time"], 0.02)
+            report.bound(
+                f"{members} members, {case}: calls in time lost beside no duties",
+                rows[f"{case}, {members} members, without duties"]["in_time"]
+                - rows[f"{case}, {members} members, with duties"]["in_time"],
+                0.02,
+            )
--- a/sageweir/lab/dutycheck.py
+++ b/sageweir/lab/dutycheck.py
@@ -93,14 +93,23 @@
 class Checker:
     """The cores, by way of their local states; each local step is worked out once."""
 
-    def __init__(self, scope: Scope, elector: Callable[..., Elector] = Elector,
-                 seeker: Callable[..., Seeker] = Seeker) -> None:
+    def __init__(
+        self, scope: Scope, elector: Callable[..., Elector] = Elector, seeker: Callable[..., Seeker] = Seeker
+    ) -> None:
         self.scope, self._make_elector, self._make_seeker = scope, elector, seeker
         self.places, self.seekers, self.hands = Numbered(), Numbered(), Numbered()
         self.moves, self.aged, self.told, self.restarts = (
-            cache(self._moves), cache(self._aged), cache(self._told), cache(self._restarts))
+            cache(self._moves),
+            cache(self._aged),
+            cache(self._told),
+            cache(self._restarts),
+        )
         self.grants, self.won, self.seek, self.older = (
-            cache(self._grants), cache(self._won), cache(self._seeks), cache(self._older))
+            cache(self._grants),
+            cache(self._won),
+            cache(self._seeks),
+            cache(self._older),
+        )
         self.renamed, self.asks = cache(self._renamed), cache(self._asks)
         self.recalls, self.holds = cache(self._recalls), cache(self._holds)
 
@@ -118,8 +127,13 @@
         promise = one.promises[DUTY]
         until = max(0.0, promise.until - one.time)
         bound = (promise.seeker, promise.boot, until, promise.next) if until else ("", 0, 0.0, "")
-        heard = () if one.intact else tuple(sorted(
-            (ELECTORS.index(name), memory.intact, memory.terms[DUTY]) for name, memory in one.heard.items()))
+        heard = (
+            ()
+            if one.intact
+            else tuple(
+                sorted((ELECTORS.index(name), memory.intact, memory.terms[DUTY]) for name, memory in one.heard.items())
+            )
+        )
         out = 0.0 if one.intact else max(0.0, one.out_until - one.time)
         return (one.intact, out, promise.term, *bound, disk, heard)
 
@@ -167,9 +181,18 @@
         asks = one.round is not None and one.stage in (Stage.ASKING, Stage.HOLDING)
         term = 0 if one.stage is Stage.IDLE else one.term
         then = one.next if one.stage is Stage.HANDING else ""
-        return (one.boot, one.stage.value, term, until, one.seen, one.freed, then,
-                max(-float(LEASE), one.round.asked_at) if asks and one.round else None,
-                len(one.round.yes) if asks and one.round else 0, one.taken)
+        return (
+            one.boot,
+            one.stage.value,
+            term,
+            until,
+            one.seen,
+            one.freed,
+            then,
+            max(-float(LEASE), one.round.asked_at) if asks and one.round else None,
+            len(one.round.yes) if asks and one.round else 0,
+            one.taken,
+        )
 
     def _said(self, who: str, state: SeekerState) -> tuple[SeekerState, tuple[Any, ...]]:
         """One more grant for the present question."""
@@ -202,8 +225,18 @@
     def _age(self, state: SeekerState) -> SeekerState:
         """A tick."""
         boot, stage, term, until, seen, freed, then, asked_at, yes, taken = state
-        return (boot, stage, term, max(0.0, until - 1), seen, freed, then,
-                None if asked_at is None else max(-float(LEASE), asked_at - 1), yes, taken)
+        return (
+            boot,
+            stage,
+            term,
+            max(0.0, until - 1),
+            seen,
+            freed,
+            then,
+            None if asked_at is None else max(-float(LEASE), asked_at - 1),
+            yes,
+            taken,
+        )
 
     # Places, by number
 
@@ -214,8 +247,10 @@
             if self.scope.prune and not crashes:
                 term, holder = state[2], (state[3], state[4])
                 words = frozenset(
-                    word for word in words if word[0] in "SY"
-                    or word[3] > term or (word[3] == term and holder == (word[1], word[2])))
+                    word
+                    for word in words
+                    if word[0] in "SY" or word[3] > term or (word[3] == term and holder == (word[1], word[2]))
+                )
         return self.places.of((state, words))
 
     def _moves(self, number: int, crashes: bool) -> tuple[tuple[tuple[Any, ...], int], ...]:
@@ -249,15 +284,20 @@
         """What a seeker says comes on its way there. over: its last question is, whose grants count no more."""
         elector, words = self.places.things[number]
         if over:
-            words = frozenset((*word[:5], False) if word[0] == "A" and word[1] == who else word for word in words
-                              if word not in (("S", who), ("Y", who)))
+            words = frozenset(
+                (*word[:5], False) if word[0] == "A" and word[1] == who else word
+                for word in words
+                if word not in (("S", who), ("Y", who))
+            )
         return self._place(elector, words | frozenset(out), crashes)
 
     def _restarts(self, number: int, crashes: bool) -> tuple[tuple[int, int], ...]:
         """(disk, place) after a crash."""
         elector, words = self.places.things[number]
-        return tuple((disk, self._place(self.restarted(disk), frozenset(word for word in words if word[0] != "M"),
-                                        crashes)) for disk in sorted({elector[7], 0}))
+        return tuple(
+            (disk, self._place(self.restarted(disk), frozenset(word for word in words if word[0] != "M"), crashes))
+            for disk in sorted({elector[7], 0})
+        )
 
     def _recalls(self, number: int, other: int, j: int, crashes: bool) -> int | None:
         """Place j answers what it remembers; None where this one does not ask."""
@@ -272,8 +312,12 @@
         elector, words = self.places.things[number]
         to = {a: b, b: a}
         heard = tuple(sorted((to.get(other, other), *rest) for other, *rest in elector[8]))
-        return self.places.of(((*elector[:8], heard), frozenset(
-            ("M", to.get(word[1], word[1]), *word[2:]) if word[0] == "M" else word for word in words)))
+        return self.places.of(
+            (
+                (*elector[:8], heard),
+                frozenset(("M", to.get(word[1], word[1]), *word[2:]) if word[0] == "M" else word for word in words),
+            )
+        )
 
     def _order(self, a: int, b: int, c: int) -> tuple[int, int, int]:
         """One order for all states that differ by names of electors only, where at most one remembers less."""
@@ -325,15 +369,34 @@
     def first(self) -> State:
         idle = self.seekers.of((0, Stage.IDLE.value, 0, 0.0, 0, NONE, "", None, 0, 0))
         place = self.places.of(((True, 0.0, 0, "", 0, 0.0, "", 0, ()), frozenset()))
-        return (place, place, place, idle, idle, self.hands.of(frozenset()), self.scope.elector_crashes,
-                self.scope.seeker_crashes, 0)
+        return (
+            place,
+            place,
+            place,
+            idle,
+            idle,
+            self.hands.of(frozenset()),
+            self.scope.elector_crashes,
+            self.scope.seeker_crashes,
+            0,
+        )
 
     def steps(self, state: State) -> Iterator[Step]:
         """What may happen next: how it is called, and the state after it."""
         a, b, c, x, y, hands, left, lives, highest = state
         crashes = left > 0
-        yield ("a tick",), (*self._order(self.aged(a, crashes), self.aged(b, crashes), self.aged(c, crashes)),
-                            self.older(x), self.older(y), hands, left, lives, highest)
+        yield (
+            ("a tick",),
+            (
+                *self._order(self.aged(a, crashes), self.aged(b, crashes), self.aged(c, crashes)),
+                self.older(x),
+                self.older(y),
+                hands,
+                left,
+                lives,
+                highest,
+            ),
+        )
         for i in range(3):
             number = state[i]
             for what, after in self.moves(number, crashes):
@@ -345,16 +408,18 @@
                 for disk, after in self.restarts(number, left > 1):
                     rest = [self._told(state[j], "", False, (), left > 1) for j in range(3)]
                     rest[i] = after
-                    yield (f"e{i} restarts, its disk holds", disk), (
-                        *self._order(*rest), x, y, hands, left - 1, lives, highest)
+                    yield (
+                        (f"e{i} restarts, its disk holds", disk),
+                        (*self._order(*rest), x, y, hands, left - 1, lives, highest),
+                    )
             for k in (0, 1):
                 if (counted := self.grants(number, SEEKERS[k], crashes)) is not None:
-                    places: State = (*state[:i], counted, *state[i + 1:])  # type: ignore[assignment]
-                    yield (f"e{i}'s grant", SEEKERS[k]), self._after(
-                        places, k, *self.won(state[3 + k], SEEKERS[k]))
+                    places: State = (*state[:i], counted, *state[i + 1 :])  # type: ignore[assignment]
+                    yield (f"e{i}'s grant", SEEKERS[k]), self._after(places, k, *self.won(state[3 + k], SEEKERS[k]))
         things = self.places.things
-        top = max(things[a][0][2], things[b][0][2], things[c][0][2],
-                  self.seekers.things[x][4], self.seekers.things[y][4])
+        top = max(
+            things[a][0][2], things[b][0][2], things[c][0][2], self.seekers.things[x][4], self.seekers.things[y][4]
+        )
         for k in (0, 1):
             for what in self.asks(state[3 + k], top):
                 told = ("hand", SEEKERS[1 - k]) if what == ("hand",) else what
@@ -419,8 +484,15 @@
     return bool(hand[3] >= to[9])
 
 
-def explore(scope: Scope, elector: Callable[..., Elector] = Elector, seeker: Callable[..., Seeker] = Seeker,
-            most: int = 10_000_000, seconds: float = 1e9, deep: bool = False, held_first: bool = False) -> Found:
+def explore(
+    scope: Scope,
+    elector: Callable[..., Elector] = Elector,
+    seeker: Callable[..., Seeker] = Seeker,
+    most: int = 10_000_000,
+    seconds: float = 1e9,
+    deep: bool = False,
+    held_first: bool = False,
+) -> Found:
     """All states, or as many as `most`, or as are seen in so many seconds; ends at the first violation. deep: what was
     found last is gone on from first; held_first: states in which a duty was held and then somebody crashed are. Either
     comes to some violations sooner.
--- a/sageweir/lab/dutysim.py
+++ b/sageweir/lab/dutysim.py
@@ -47,8 +47,15 @@
 class DutySimulator:
     """Times are ms. Everything follows from the seed."""
 
-    def __init__(self, electors: int, members: int, seed: int, timing: Timing, elector: MakeElector = Elector,
-                 seeker: MakeSeeker = Seeker) -> None:
+    def __init__(
+        self,
+        electors: int,
+        members: int,
+        seed: int,
+        timing: Timing,
+        elector: MakeElector = Elector,
+        seeker: MakeSeeker = Seeker,
+    ) -> None:
         self.draw, self.timing = Random(seed), timing
         self.make_elector, self.make_seeker = elector, seeker
         self.names = [f"m{i}" for i in range(members)]
@@ -195,8 +202,11 @@
     # What must hold
 
     def _look(self) -> None:
-        holders = [(p.name, term) for p in self.processes.values()
-                   if p.seeker.stage in ACTING and p.running and (term := p.seeker.holds(self.clock(p))) is not None]
+        holders = [
+            (p.name, term)
+            for p in self.processes.values()
+            if p.seeker.stage in ACTING and p.running and (term := p.seeker.holds(self.clock(p))) is not None
+        ]
         if len(holders) > 1:
             self.found.append(f"at {self.now:.0f}: {holders} hold the duty at once")
         holding = holders[0] if holders else None
@@ -279,15 +289,30 @@
         lasts = draw.uniform(1.0, periods - at)
         one, some = draw.choice(names), tuple(draw.sample(names, draw.randint(1, len(names) - 1)))
         rest = tuple(name for name in names if name not in some)
-        match draw.choice(["restart", "restart", "all", "stop", "stop", "partition", "one way", "lose", "mess", "slow",
-                           "leave", "jump"]):
+        match draw.choice(
+            [
+                "restart",
+                "restart",
+                "all",
+                "stop",
+                "stop",
+                "partition",
+                "one way",
+                "lose",
+                "mess",
+                "slow",
+                "leave",
+                "jump",
+            ]
+        ):
             case "restart":
                 back = Fault(at + min(lasts, 20), "start", (one,), size=draw.choice([0, 1, 2]))
                 script += [Fault(at, "kill", (one,)), back]
             case "all":
                 script.append(Fault(at, "kill", tuple(names)))
-                script += [Fault(at + draw.uniform(0, 8), "start", (name,), size=draw.choice([0, 0, 1]))
-                           for name in names]
+                script += [
+                    Fault(at + draw.uniform(0, 8), "start", (name,), size=draw.choice([0, 0, 1])) for name in names
+                ]
             case "stop":
                 script.append(Fault(at, "stop", some, lasts=lasts))
             case "partition":
@@ -297,8 +322,10 @@
             case "lose":
                 script.append(Fault(at, "lose", tuple(names), tuple(names), lasts, draw.uniform(0.1, 0.5)))
             case "mess":
-                script += [Fault(at, "reorder", tuple(names), tuple(names), lasts, 0.4),
-                           Fault(at, "double", tuple(names), tuple(names), lasts, 0.4)]
+                script += [
+                    Fault(at, "reorder", tuple(names), tuple(names), lasts, 0.4),
+                    Fault(at, "double", tuple(names), tuple(names), lasts, 0.4),
+                ]
             case "slow":
                 script.append(Fault(at, "delay", some, tuple(names), lasts, draw.uniform(0.5, 16.0)))
             case "leave":
@@ -308,8 +335,9 @@
     return sorted(script, key=lambda fault: fault.at)
 
 
-def play_duties(seed: int, electors: int = 3, members: int = 5, elector: MakeElector = Elector,
-                seeker: MakeSeeker = Seeker) -> dict[str, Any]:
+def play_duties(
+    seed: int, electors: int = 3, members: int = 5, elector: MakeElector = Elector, seeker: MakeSeeker = Seeker
+) -> dict[str, Any]:
     """One fleet under one script: violations, whether the duty is held in the end, and counts."""
     sim = DutySimulator(electors, members, seed, Timing(), elector, seeker)
     sim.run(4000.0)
@@ -322,5 +350,11 @@
     back = sim.until_held(12 * sim.timing.lease_ms)
     if back is not None:
         sim.run(2 * sim.timing.lease_ms)
-    return {"found": sim.found[:3], "back_ms": back, "acts": sim.acts, "refused": sim.refused,
-            "held": len(sim.held), "script": script}
+    return {
+        "found": sim.found[:3],
+        "back_ms": back,
+        "acts": sim.acts,
+        "refused": sim.refused,
+        "held": len(sim.held),
+        "script": script,
+    }
--- a/sageweir/lab/dutyworth.py
+++ b/sageweir/lab/dutyworth.py
@@ -106,9 +106,14 @@
     fleet.run_s(2.0)
     back = len(fleet.servers["s-0"].times) - back
     fleet.run_s(3.0)
-    return {"tests": tests, "tests_first_5_s": first, "probes": fleet.probes, "back_in_2_s": back,
-            "messages_a_second": messages / 45.0,
-            "in_time": (fleet.in_time - in_time) / (fleet.offered - offered)}
+    return {
+        "tests": tests,
+        "tests_first_5_s": first,
+        "probes": fleet.probes,
+        "back_in_2_s": back,
+        "messages_a_second": messages / 45.0,
+        "in_time": (fleet.in_time - in_time) / (fleet.offered - offered),
+    }
 
 
 def cold_start(members: int, duties: bool, seed: int) -> dict[str, Any]:
@@ -127,6 +132,9 @@
     messages = fleet.messages - messages
     fleet.run_s(8.0)
     could = sum(fleet.model.warmth(t * 100.0) * 100.0 / WORK_MS for t in range(int(COLD_MS / 100)))
-    return {"worst_of_budget": server.rule.worst, "of_its_capacity": took / could,
-            "messages_a_second": messages / (COLD_MS / 1000),
-            "in_time": (fleet.in_time - in_time) / (fleet.offered - offered)}
+    return {
+        "worst_of_budget": server.rule.worst,
+        "of_its_capacity": took / could,
+        "messages_a_second": messages / (COLD_MS / 1000),
+        "in_time": (fleet.in_time - in_time) / (fleet.offered - offered),
+    }
--- a/sageweir/lab/fanout.py
+++ b/sageweir/lab/fanout.py
@@ -29,8 +29,9 @@
         version = ""
         while True:
             body = orjson.dumps({"version_info": version, "node": {"id": "poller"}})
-            writer.write(b"POST /v3/discovery:endpoints HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%b"
-                         % (len(body), body))
+            writer.write(
+                b"POST /v3/discovery:endpoints HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+            )
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             size = int(head.partition("Content-Length: ")[2].partition("\r\n")[0])
             answer = await reader.readexactly(size)
@@ -42,8 +43,9 @@
             await asyncio.sleep(POLL_S)
 
 
-async def one_size(streams: int, endpoints: int, changes: int, delta: bool, processes: int,
-                   pollers: int = 0, workers: int = 1) -> dict[str, Any]:
+async def one_size(
+    streams: int, endpoints: int, changes: int, delta: bool, processes: int, pollers: int = 0, workers: int = 1
+) -> dict[str, Any]:
     """Change one endpoint so many times; what each stream and poller saw, and when."""
     rig = Rig(endpoints, lease_ms=0.0, workers=workers)
     tasks: list[asyncio.Task[None]] = []
@@ -75,11 +77,17 @@
             lasts.append(max(ends))
             polled += [t - at for poll in polls for t in poll.seen[:1]]
         sent = sum(f["bytes"] for f in await rig.each(do="figures")) - before
-        return {"ack_ms": spread(acked), "last_ack_ms": spread(lasts), "missing": missing,
-                "bytes_per_stream_and_change": round(sent / streams / changes, 1),
-                "memory_per_stream_kb": round((full_kb - empty_kb) / streams, 2),
-                "service_cpu_ms_per_change": round((rig.cpu_s() - cpu) * 1000 / changes, 1),
-                "polled_ms": spread(polled) if polls else None, "_acked": acked, "_polled": polled}
+        return {
+            "ack_ms": spread(acked),
+            "last_ack_ms": spread(lasts),
+            "missing": missing,
+            "bytes_per_stream_and_change": round(sent / streams / changes, 1),
+            "memory_per_stream_kb": round((full_kb - empty_kb) / streams, 2),
+            "service_cpu_ms_per_change": round((rig.cpu_s() - cpu) * 1000 / changes, 1),
+            "polled_ms": spread(polled) if polls else None,
+            "_acked": acked,
+            "_polled": polled,
+        }
     finally:
         for task in tasks:
             task.cancel()
@@ -91,13 +99,24 @@
 
     The bounds are for `workers` instances; what one alone does is told beside.
     """
-    report = Report("fanout", {"proxies": proxies, "servers": servers, "changes": changes,
-                               "workers": workers, "poll_period_s": POLL_S, "pollers": POLLERS})
+    report = Report(
+        "fanout",
+        {
+            "proxies": proxies,
+            "servers": servers,
+            "changes": changes,
+            "workers": workers,
+            "poll_period_s": POLL_S,
+            "pollers": POLLERS,
+        },
+    )
     sizes = sorted({max(1, proxies // 10), max(1, proxies * 3 // 10), proxies})
     cases = [(f"delta_{n}_by_{workers}", n, True, 0, workers) for n in sizes]
     cases += [(f"delta_{n}_by_1", n, True, 0, 1) for n in sizes if workers > 1]
-    cases += [(f"sotw_{proxies}_by_{workers}", proxies, False, 0, workers),
-              (f"beside_polling_{sizes[0]}", sizes[0], True, POLLERS, 1)]
+    cases += [
+        (f"sotw_{proxies}_by_{workers}", proxies, False, 0, workers),
+        (f"beside_polling_{sizes[0]}", sizes[0], True, POLLERS, 1),
+    ]
     for name, streams, delta, pollers, instances in cases:
         found = await one_size(streams, servers, changes, delta, processes, pollers, instances)
         report.figures[f"_{name}_ms"] = [round(t, 2) for t in found.pop("_acked")]
@@ -111,6 +130,5 @@
     report.bound(f"{proxies} streams: notice to last ACK, worst, ms", max(every), 250.0)
     report.bound("memory of a stream, KiB", report.figures[f"delta_{proxies}_by_1"]["memory_per_stream_kb"], 200.0)
     polling = report.figures[f"beside_polling_{sizes[0]}"]
-    report.bound("p50 of streams, as a part of polling's", polling["ack_ms"]["p50"] / polling["polled_ms"]["p50"],
-                 1.0)
+    report.bound("p50 of streams, as a part of polling's", polling["ack_ms"]["p50"] / polling["polled_ms"]["p50"], 1.0)
     return report
--- a/sageweir/lab/faults/relay.py
+++ b/sageweir/lab/faults/relay.py
@@ -19,8 +19,9 @@
     there, back: give the faults that hold now. Times of faults are in periods of period_ms.
     """
 
-    def __init__(self, port: int, to: int, there: Callable[[], Link], back: Callable[[], Link], period_ms: float,
-                 seed: int) -> None:
+    def __init__(
+        self, port: int, to: int, there: Callable[[], Link], back: Callable[[], Link], period_ms: float, seed: int
+    ) -> None:
         """port: where it listens; to: the port that it leads to; all on loopback."""
         self.port, self.to, self.there, self.back, self.period = port, to, there, back, period_ms / 1000
         self.draw = Random(seed)
@@ -90,8 +91,9 @@
                 if one is not None:
                     one.transport.abort()
 
-    async def _pipe(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                    faults: Callable[[], Link]) -> None:
+    async def _pipe(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, faults: Callable[[], Link]
+    ) -> None:
         while data := await reader.read(64 * 1024):
             if late := faults().delay:
                 await asyncio.sleep(late * self.period)
--- a/sageweir/lab/faults/rig.py
+++ b/sageweir/lab/faults/rig.py
@@ -83,10 +83,23 @@
 class FleetRig:
     """`async with FleetRig(names, script=...) as rig: await rig.play()`."""
 
-    def __init__(self, names: Sequence[str], script: Sequence[Fault] = (), *, seed: int = 1, seeds: int = 3,
-                 zones: Sequence[str] = ("z0", "z1"), period_ms: float = PERIOD_MS, remember_ms: float = 120_000.0,
-                 feed: int | None = None, later: Sequence[str] = (), held: Sequence[str] = (),
-                 electors: int = 0, lease_ms: float = 1000.0, changes: dict[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        names: Sequence[str],
+        script: Sequence[Fault] = (),
+        *,
+        seed: int = 1,
+        seeds: int = 3,
+        zones: Sequence[str] = ("z0", "z1"),
+        period_ms: float = PERIOD_MS,
+        remember_ms: float = 120_000.0,
+        feed: int | None = None,
+        later: Sequence[str] = (),
+        held: Sequence[str] = (),
+        electors: int = 0,
+        lease_ms: float = 1000.0,
+        changes: dict[str, float] | None = None,
+    ) -> None:
         """seeds: how many members are in the join list; feed: a feed stand-in's port; later: names that are not started
         at first; held: names whose listening sockets the rig holds, as the platform does for upgrades;
         electors: how many of the members, from the first on; changes: of cluster.json, where there are any.
@@ -102,8 +115,9 @@
         extra = [name for fault in self.script if fault.do in ("move", "twin") for name in fault.who]
         ports = free_ports(len(self.names) + len(extra))
         self.places = [self._place(name, 0, port) for name, port in zip(self.names, ports, strict=False)]
-        self.places += [self._place(name, 1 + extra[:i].count(name), ports[len(self.names) + i])
-                        for i, name in enumerate(extra)]
+        self.places += [
+            self._place(name, 1 + extra[:i].count(name), ports[len(self.names) + i]) for i, name in enumerate(extra)
+        ]
         self.seeds = [place for place in self.places if not place.serial][:seeds]
         self.clients: dict[str, int] = {}  # where callers connect, by name
 
@@ -117,15 +131,17 @@
     async def __aenter__(self) -> FleetRig:
         try:
             await self._make_relays()
-            await asyncio.gather(*(self.start(place) for place in self.places
-                                   if not place.serial and place.name not in self.later))
+            await asyncio.gather(
+                *(self.start(place) for place in self.places if not place.serial and place.name not in self.later)
+            )
         except BaseException:
             await self.close()
             raise
         return self
 
-    async def __aexit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                        trace: TracebackType | None) -> None:
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
         if error is not None and self.script:
             print(f"seed {self.seed}; the fault script, to be played again:\n{dump(self.script)}", file=sys.stderr)
         await self.close()
@@ -146,9 +162,14 @@
     async def _make_relays(self) -> None:
         pairs = [(a, b) for a in self.places for b in self.places if a.name != b.name]
         for i, ((a, b), port) in enumerate(zip(pairs, free_ports(len(pairs)), strict=True)):
-            relay = Relay(port, b.port, lambda a=a, b=b: self.links.of(a.name, b.name),  # type: ignore[misc]
-                          lambda a=a, b=b: self.links.of(b.name, a.name),  # type: ignore[misc]
-                          self.period_ms, self.seed * 10_007 + i)
+            relay = Relay(
+                port,
+                b.port,
+                lambda a=a, b=b: self.links.of(a.name, b.name),  # type: ignore[misc]
+                lambda a=a, b=b: self.links.of(b.name, a.name),  # type: ignore[misc]
+                self.period_ms,
+                self.seed * 10_007 + i,
+            )
             try:
                 await relay.start()
             except OSError:  # another rig was quicker
@@ -163,34 +184,53 @@
         place.admin, place.stops = f"127.0.0.1:{admin}", 0
         self.clients[place.name] = client
         others = [(b, relay) for (a, b), relay in self.relays.items() if a is place]
-        first = {one.name: f"127.0.0.1:{one.port}" for one in self.places[:self.electors] if not one.serial}
+        first = {one.name: f"127.0.0.1:{one.port}" for one in self.places[: self.electors] if not one.serial}
         duties: dict[str, Any] = {}
         if first:
             duties = {"electors": first, "lease_ms": self.lease_ms, "state": str(place.folder / "state")}
         if self.changes is not None:
             duties["changes"] = self.changes
-        place.folder.joinpath("deploy/cluster.json").write_bytes(orjson.dumps(duties | {
-            "fleet": "lab", "listen": f"127.0.0.1:{place.port}", "zone": self.zones[at % len(self.zones)],
-            "join": [f"127.0.0.1:{seed.port}" for seed in self.seeds], "period_ms": self.period_ms,
-            "via": {f"127.0.0.1:{b.port}": f"127.0.0.1:{relay.port}" for b, relay in others},
-            "remember_ms": self.remember_ms, "audit": str(place.folder / "audit.jsonl"),
-            "faults": str(place.folder / "clock.json")}))
-        config = {"name": place.name, "listen": f"127.0.0.1:{client}", "seed": f"{self.seed * 1000 + at:x}",
-                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"n": 0, "events": []},
-                  "settings": settings(14_000.0)}
+        place.folder.joinpath("deploy/cluster.json").write_bytes(
+            orjson.dumps(
+                duties
+                | {
+                    "fleet": "lab",
+                    "listen": f"127.0.0.1:{place.port}",
+                    "zone": self.zones[at % len(self.zones)],
+                    "join": [f"127.0.0.1:{seed.port}" for seed in self.seeds],
+                    "period_ms": self.period_ms,
+                    "via": {f"127.0.0.1:{b.port}": f"127.0.0.1:{relay.port}" for b, relay in others},
+                    "remember_ms": self.remember_ms,
+                    "audit": str(place.folder / "audit.jsonl"),
+                    "faults": str(place.folder / "clock.json"),
+                }
+            )
+        )
+        config = {
+            "name": place.name,
+            "listen": f"127.0.0.1:{client}",
+            "seed": f"{self.seed * 1000 + at:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"n": 0, "events": []},
+            "settings": settings(14_000.0),
+        }
         if self.feed is not None:
             config["feed"] = f"127.0.0.1:{self.feed}"
         place.folder.joinpath("config.json").write_bytes(orjson.dumps(config))
         environ = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
-        environ |= {"NODE_CONFIG": str(place.folder / "config.json"), "NODE_ADMIN_ADDR": place.admin,
-                    "PYTHONPATH": str(place.root or ROOT)}
+        environ |= {
+            "NODE_CONFIG": str(place.folder / "config.json"),
+            "NODE_ADMIN_ADDR": place.admin,
+            "PYTHONPATH": str(place.root or ROOT),
+        }
         kept: tuple[int, ...] = ()
         if (listener := self.held.get(place.name)) is not None:
             kept = (listener.fileno(),)
             environ |= {"NODE_SOCKET_FD": str(kept[0]), "TMPDIR": str(place.folder)}
         with place.folder.joinpath("log.txt").open("ab") as log:
             place.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "sageweir", cwd=place.folder, env=environ, stderr=log, pass_fds=kept)
+                sys.executable, "-m", "sageweir", cwd=place.folder, env=environ, stderr=log, pass_fds=kept
+            )
         for _ in range(600):
             if place.process.returncode is not None:
                 raise Missed(f"{place.name} ended at its start: {self.log(place)[-2000:]}")
@@ -226,8 +266,12 @@
 
     def alive(self) -> list[Place]:
         """Places whose process runs and has not stopped itself at a point."""
-        return [place for place in self.up() if place.process is not None and Path(
-            f"/proc/{place.process.pid}/stat").read_text().rpartition(")")[2].split()[0] != "T"]
+        return [
+            place
+            for place in self.up()
+            if place.process is not None
+            and Path(f"/proc/{place.process.pid}/stat").read_text().rpartition(")")[2].split()[0] != "T"
+        ]
 
     async def views(self) -> list[dict[str, Any]]:
         found = await asyncio.gather(*(self.view(place) for place in self.up()), return_exceptions=True)
@@ -285,6 +329,7 @@
 
     async def until_alike(self, periods: float = 60.0) -> float:
         """Wait until all views hold exactly the names that live, and are equal."""
+
         def so(views: list[dict[str, Any]]) -> list[str]:
             living = {place.name for place in self.up()}
             silent = len(self.up()) - len(views)
@@ -298,6 +343,7 @@
 
     async def until_held(self, periods: float = 80.0) -> float:
         """Wait until all processes name the same holder of each duty, and it lives."""
+
         def so(views: list[dict[str, Any]]) -> list[str]:
             living = {place.name for place in self.up()}
             wrong = [f"{len(views)} of {len(living)} answer"] if len(views) < len(living) else []
@@ -357,8 +403,13 @@
                     self._disk(place, fault.size)
                     await self.start(place)
                 case "move" | "twin":
-                    await self.start(next(place for place in self.places if place.name == name
-                                          and place.serial and place.process is None))
+                    await self.start(
+                        next(
+                            place
+                            for place in self.places
+                            if place.name == name and place.serial and place.process is None
+                        )
+                    )
                 case _:
                     for place in here:
                         await self._process(place, fault, begins)
--- a/sageweir/lab/faults/script.py
+++ b/sageweir/lab/faults/script.py
@@ -122,15 +122,17 @@
             link = Link()
             for fault in self._now.get(key, ()):
                 held = fault.do in ("cut", "hang")
-                value: Any = True if held else fault.size if fault.do == "throttle" else max(
-                    getattr(link, fault.do), fault.size)
+                value: Any = (
+                    True if held else fault.size if fault.do == "throttle" else max(getattr(link, fault.do), fault.size)
+                )
                 link = replace(link, **{fault.do: value})
             self._made[key] = link
         return self._made[key]
 
 
-def draw_script(seed: int, names: Sequence[str], zones: Sequence[Sequence[str]], periods: float,
-                faults: int = 4) -> list[Fault]:
+def draw_script(
+    seed: int, names: Sequence[str], zones: Sequence[Sequence[str]], periods: float, faults: int = 4
+) -> list[Fault]:
     """A script by chance, all of whose faults end within so many periods. One member in two or more is never killed."""
     draw = Random(seed)
     script: list[Fault] = []
@@ -141,8 +143,28 @@
         lasts = draw.uniform(1.0, periods - at)
         some = tuple(draw.sample(list(names), draw.randint(1, max(1, len(names) // 2))))
         rest = tuple(name for name in names if name not in some)
-        kind = draw.choice(["kill", "restart", "move", "stop", "slow", "partition", "zones", "one way", "through third",
-                            "lose", "mess", "flap", "jump", "drift", "leave", "twin", "input", "join burst"])
+        kind = draw.choice(
+            [
+                "kill",
+                "restart",
+                "move",
+                "stop",
+                "slow",
+                "partition",
+                "zones",
+                "one way",
+                "through third",
+                "lose",
+                "mess",
+                "flap",
+                "jump",
+                "drift",
+                "leave",
+                "twin",
+                "input",
+                "join burst",
+            ]
+        )
         match kind:
             case "kill" if mortal:
                 script.append(Fault(at, "kill", (mortal.pop(),)))
@@ -159,8 +181,10 @@
             case "stop":
                 script.append(Fault(at, "stop", some, lasts=lasts))
             case "slow":
-                script += [Fault(at, "delay", some, tuple(names), lasts, draw.uniform(0.1, 0.6)),
-                           Fault(at, "delay", rest, some, lasts, draw.uniform(0.1, 0.6))]
+                script += [
+                    Fault(at, "delay", some, tuple(names), lasts, draw.uniform(0.1, 0.6)),
+                    Fault(at, "delay", rest, some, lasts, draw.uniform(0.1, 0.6)),
+                ]
             case "partition":
                 script += partition(at, lasts, [some, rest])
             case "zones" if len(zones) > 1:
@@ -172,8 +196,10 @@
             case "lose":
                 script.append(Fault(at, "lose", tuple(names), tuple(names), lasts, draw.uniform(0.02, 0.25)))
             case "mess":
-                script += [Fault(at, "reorder", tuple(names), tuple(names), lasts, 0.3),
-                           Fault(at, "double", tuple(names), tuple(names), lasts, 0.3)]
+                script += [
+                    Fault(at, "reorder", tuple(names), tuple(names), lasts, 0.3),
+                    Fault(at, "double", tuple(names), tuple(names), lasts, 0.3),
+                ]
             case "flap":
                 beat = draw.uniform(2.0, 6.0)
                 times = [at + i * beat for i in range(int(lasts / beat) + 1) if at + i * beat + beat / 2 <= periods]
--- a/sageweir/lab/faultydisk.py
+++ b/sageweir/lab/faultydisk.py
@@ -29,8 +29,14 @@
     operation would do may be done. fails: (operation, errno) pairs. reorders: changes of names survive in any choice.
     """
 
-    def __init__(self, draw: Random, lies: bool = False, cut_at: int = 0, fails: tuple[tuple[int, int], ...] = (),
-                 reorders: bool = False) -> None:
+    def __init__(
+        self,
+        draw: Random,
+        lies: bool = False,
+        cut_at: int = 0,
+        fails: tuple[tuple[int, int], ...] = (),
+        reorders: bool = False,
+    ) -> None:
         self.draw, self.lies, self.cut_at, self.fails, self.reorders = draw, lies, cut_at, dict(fails), reorders
         self.operations = 0
         self._names: dict[str, _Inode] = {}
@@ -48,7 +54,7 @@
     def append(self, name: str, data: bytes) -> None:
         inode = self._names.get(name) or self._make(name)
         if self._operation():
-            inode.data += data[:self.draw.randrange(len(data) + 1)]
+            inode.data += data[: self.draw.randrange(len(data) + 1)]
             raise PowerCut
         inode.data += data
 
@@ -63,7 +69,7 @@
     def write(self, name: str, data: bytes) -> None:
         if self._operation():
             if self.draw.random() < 0.5:
-                self._make(name).data += data[:self.draw.randrange(len(data) + 1)]
+                self._make(name).data += data[: self.draw.randrange(len(data) + 1)]
             raise PowerCut
         self._make(name).data += data
 
@@ -118,7 +124,7 @@
         """The disk as it is found when power is back; honest from then on."""
         found = FaultyDisk(self.draw)
         names = dict(self._durable_names)
-        kept = self._pending if self.reorders else self._pending[:self.draw.randrange(len(self._pending) + 1)]
+        kept = self._pending if self.reorders else self._pending[: self.draw.randrange(len(self._pending) + 1)]
         for name, what, inode in kept:
             if self.reorders and self.draw.random() < 0.5:
                 continue
@@ -136,8 +142,9 @@
         data, durable = bytes(inode.data), inode.durable
         if data == durable:
             return data
-        common = next((i for i, (a, b) in enumerate(zip(data, durable, strict=False)) if a != b),
-                      min(len(data), len(durable)))
+        common = next(
+            (i for i, (a, b) in enumerate(zip(data, durable, strict=False)) if a != b), min(len(data), len(durable))
+        )
         end = self.draw.randrange(common, len(data) + 1)
         out = bytearray(data[:end])
         for at in range(common - common % SECTOR, end, SECTOR):
@@ -149,7 +156,7 @@
     def spoil(self, name: str, at: int, data: bytes) -> None:
         """Bytes that changed by themselves, or came from elsewhere."""
         inode = self._inode(name)
-        inode.data[at:at + len(data)] = data
+        inode.data[at : at + len(data)] = data
         inode.durable = bytes(inode.data)
 
     def copy(self) -> FaultyDisk:
--- a/sageweir/lab/feed.py
+++ b/sageweir/lab/feed.py
@@ -11,8 +11,14 @@
 
 def row(name: str, port: int, number: int = 0, state: str = "SERVING", started_ms: float = 0.0) -> dict[str, Any]:
     """One server in the feed's words, on loopback."""
-    return {"instanceId": name, "hostPort": f"127.0.0.1:{port}", "cell": number, "lifecycle": state,
-            "startedAtMs": started_ms, "weight": 1.0}
+    return {
+        "instanceId": name,
+        "hostPort": f"127.0.0.1:{port}",
+        "cell": number,
+        "lifecycle": state,
+        "startedAtMs": started_ms,
+        "weight": 1.0,
+    }
 
 
 class FeedStandIn:
@@ -41,10 +47,12 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            after = next((line.partition(":")[2] for line in head.split("\r\n")
-                          if line.lower().startswith("last-event-id:")), "0")
+            after = next(
+                (line.partition(":")[2] for line in head.split("\r\n") if line.lower().startswith("last-event-id:")),
+                "0",
+            )
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n")
-            for event in self.events[int(after):]:
+            for event in self.events[int(after) :]:
                 writer.write(event)
             self.writers.add(writer)
             while not writer.is_closing():
--- a/sageweir/lab/gatesim.py
+++ b/sageweir/lab/gatesim.py
@@ -96,11 +96,15 @@
 
 
 VERSIONS: dict[str, Worse] = {
-    "equal": Worse(), "in one class": Worse(classes=(0.0, 0.15)), "for one tenant": Worse(tenants=(0.0, 0.12)),
-    "in one zone": Worse(classes=(0.1, 0.1), zone=2), "in a burst": Worse(in_burst=0.3),
+    "equal": Worse(),
+    "in one class": Worse(classes=(0.0, 0.15)),
+    "for one tenant": Worse(tenants=(0.0, 0.12)),
+    "in one zone": Worse(classes=(0.1, 0.1), zone=2),
+    "in a burst": Worse(in_burst=0.3),
     "after twenty minutes": Worse(classes=(0.1, 0.1), after_ms=1_200_000.0),
     "from its neighbours": Worse(classes=(-0.02, -0.02), from_others=0.25),
-    "one in fifty crashes": Worse(crash_a_minute=0.02), "by its memory": Worse(memory=0.2),
+    "one in fifty crashes": Worse(crash_a_minute=0.02),
+    "by its memory": Worse(memory=0.2),
 }
 
 
@@ -186,8 +190,7 @@
 
     def report(self, i: int, now: float, number: int) -> Report:
         """What a member says, by the program's own message."""
-        rows = tuple(Row(int(t), int(s), int(late), 0, int(f), int(t))
-                     for t, s, late, f in self.totals[i])
+        rows = tuple(Row(int(t), int(s), int(late), 0, int(f), int(t)) for t, s, late, f in self.totals[i])
         has = number if self.has[i] else 0
         return Report(int(self.boots[i]), has, number, 0, int(now - self.started[i]), rows, self.memory(i))
 
@@ -231,7 +234,7 @@
             self.usual = np.array([[gate.usual.of(name, i) for i in range(len(NAMES))] for name in world.names])
         if self.stage != book.stage:
             self.tries, self.stage = self._those(plan.allowed(book.stage)), book.stage
-        zones = {int(zone[1:]) for zone in plan.zones[:book.stage + 1]}
+        zones = {int(zone[1:]) for zone in plan.zones[: book.stage + 1]}
         counted = engine.counted(now)
         for crashed in world.crashed:
             gate.crashed(bool(self.had[crashed]))
@@ -269,9 +272,19 @@
         world.has[:] = may
 
 
-def change(seed: int, version: str, members: int = 60, zones: int = 3, gate: Callable[..., Gate] = Gate,
-           bounds: Bounds = BOUNDS, horizon_ms: float = HORIZON_MS, uneven: float = 0.0, before_ms: float = BEFORE_MS,
-           sums: bool = True, kind: str = RULES) -> Result:
+def change(
+    seed: int,
+    version: str,
+    members: int = 60,
+    zones: int = 3,
+    gate: Callable[..., Gate] = Gate,
+    bounds: Bounds = BOUNDS,
+    horizon_ms: float = HORIZON_MS,
+    uneven: float = 0.0,
+    before_ms: float = BEFORE_MS,
+    sums: bool = True,
+    kind: str = RULES,
+) -> Result:
     """One change of the whole fleet, until it has ended or the time is over. sums: else by reports of each member;
     kind: a program can't be switched off and on (how it is brought to members is not simulated).
     """
--- a/sageweir/lab/invariants.py
+++ b/sageweir/lab/invariants.py
@@ -29,8 +29,13 @@
     went_on_ms: float
 
 
-def check_audits(audits: Iterable[Sequence[Row]], tuning: Tuning, names: set[str], stops: Sequence[Stop] = (),
-                 liars: frozenset[int] = frozenset()) -> list[str]:
+def check_audits(
+    audits: Iterable[Sequence[Row]],
+    tuning: Tuning,
+    names: set[str],
+    stops: Sequence[Stop] = (),
+    liars: frozenset[int] = frozenset(),
+) -> list[str]:
     """Violations of safety; an audit is one process's rows, in order. liars: boots whose words may be anything."""
     audits = [list(rows) for rows in audits]
     found: list[str] = []
@@ -46,8 +51,14 @@
     return found
 
 
-def _one(rows: Sequence[Row], tuning: Tuning, names: set[str], claimed: Mapping[int, set[int]],
-         stops: Sequence[Stop], lied: bool) -> list[str]:
+def _one(
+    rows: Sequence[Row],
+    tuning: Tuning,
+    names: set[str],
+    claimed: Mapping[int, set[int]],
+    stops: Sequence[Stop],
+    lied: bool,
+) -> list[str]:
     found: list[str] = []
     ranks: dict[str, tuple[int, int, int]] = {}
     accused = claims = 0
@@ -116,15 +127,18 @@
             case "granted":
                 to = row["to"], row["to_boot"]
                 if granted.setdefault((row["me"], duty, term), to) != to:
-                    found.append(f"{duty}: {row['me']} granted term {term} to {to} and to "
-                                 f"{granted[row['me'], duty, term]}")
+                    found.append(
+                        f"{duty}: {row['me']} granted term {term} to {to} and to {granted[row['me'], duty, term]}"
+                    )
     for duty, terms in won.items():
         order = sorted(terms)
         for i, term in enumerate(order[:-1]):
-            for later in order[i + 1:]:
+            for later in order[i + 1 :]:
                 if terms[later] <= terms[term] or terms[later] < last[duty].get(term, 0.0):
-                    found.append(f"{duty}: term {later} was won at {terms[later]:.0f}, term {term} at {terms[term]:.0f}"
-                                 f" and still held at {last[duty].get(term, 0.0):.0f}")
+                    found.append(
+                        f"{duty}: term {later} was won at {terms[later]:.0f}, term {term} at {terms[term]:.0f}"
+                        f" and still held at {last[duty].get(term, 0.0):.0f}"
+                    )
     for rows in audits:
         highest: dict[str, int] = {}
         for row in rows:
@@ -152,8 +166,9 @@
     told: dict[tuple[int, Key], dict[str, tuple[float, float]]] = defaultdict(dict)  # by warden: member, own, when
     given: dict[Key, dict[str, list[tuple[float, float]]]] = defaultdict(lambda: defaultdict(list))
     budgets: dict[Key, list[tuple[float, float]]] = defaultdict(list)
-    rows = sorted((row for rows in audits for row in rows if row["do"] in ("heard", "gave")),
-                  key=lambda row: row["real_ms"])
+    rows = sorted(
+        (row for rows in audits for row in rows if row["do"] in ("heard", "gave")), key=lambda row: row["real_ms"]
+    )
     for row in rows:
         at, data = row["real_ms"], bytes.fromhex(row["state"])
         if row["do"] == "heard":
@@ -167,14 +182,18 @@
         for part in warden.decode_given(data):
             key = (part.server, part.started_ms)
             given[key][row["to"]].append((at, part.rate))
-            budgets[key].append((at, sum(own for own, when in told[row["boot"], key].values()
-                                         if at - when < 1.05 * warden.FRESH_MS)))
-            out = sum(max((rate for when, rate in of if when > at - part.lasts_ms), default=0.0)
-                      for of in given[key].values())
+            budgets[key].append(
+                (at, sum(own for own, when in told[row["boot"], key].values() if at - when < 1.05 * warden.FRESH_MS))
+            )
+            out = sum(
+                max((rate for when, rate in of if when > at - part.lasts_ms), default=0.0) for of in given[key].values()
+            )
             budget = max(most for when, most in budgets[key] if when > at - part.lasts_ms)
             if out > budget + 1e-6:
-                found.append(f"{part.server}: at {at:.0f} {out:.2f}/s is out under term {row['term']}, "
-                             f"the budget was {budget:.2f}/s")
+                found.append(
+                    f"{part.server}: at {at:.0f} {out:.2f}/s is out under term {row['term']}, "
+                    f"the budget was {budget:.2f}/s"
+                )
     return found
 
 
--- a/sageweir/lab/load.py
+++ b/sageweir/lab/load.py
@@ -23,9 +23,16 @@
 
     async def __aenter__(self) -> Load:
         await self.feed.start()
-        self.machines = await Worker.start("sageweir.lab.servers", {
-            "model": {"work_ms": 2.0, "cold_ms": self.cold_ms, "cold_from": 0.29 if self.cold_ms else 1.0},
-            "fall_multiple": 3.0, "fall_ms": 1000.0, "ports": self.ports, "hold_ms": 500.0})
+        self.machines = await Worker.start(
+            "sageweir.lab.servers",
+            {
+                "model": {"work_ms": 2.0, "cold_ms": self.cold_ms, "cold_from": 0.29 if self.cold_ms else 1.0},
+                "fall_multiple": 3.0,
+                "fall_ms": 1000.0,
+                "ports": self.ports,
+                "hold_ms": 500.0,
+            },
+        )
         for i in range(2):
             await self.machines.ask(do="start", port=self.ports[i], name=f"s-{i}", started_ms=0.0)
         self.feed.push([row(f"s-{i}", self.ports[i], i) for i in range(2)], complete=True)
@@ -34,8 +41,10 @@
     def call(self, rig: FleetRig, names: Iterable[str], rate: float, seconds: float) -> None:
         """Callers at these members begin."""
         until = time.time() + seconds
-        self.calls += [asyncio.create_task(Caller(rig.clients[name], self.seen, i).run(rate, until))
-                       for i, name in enumerate(names, len(self.calls))]
+        self.calls += [
+            asyncio.create_task(Caller(rig.clients[name], self.seen, i).run(rate, until))
+            for i, name in enumerate(names, len(self.calls))
+        ]
 
     async def done(self) -> None:
         """Wait for the callers; each set-up was served, once."""
--- a/sageweir/lab/older.py
+++ b/sageweir/lab/older.py
@@ -56,8 +56,12 @@
             assert holder.process is not None
             holder.process.kill()
             await holder.process.wait()
-            await rig.until(lambda views: [] if any(
-                (view["changes"]["holder"] or {}).get("known") for view in views) else ["nobody holds it"], PERIODS)
+            await rig.until(
+                lambda views: (
+                    [] if any((view["changes"]["holder"] or {}).get("known") for view in views) else ["nobody holds it"]
+                ),
+                PERIODS,
+            )
             await rig.start(holder)
             await ready(rig)
             holders.append((await rig.holder(DUTY)).name)
@@ -77,13 +81,22 @@
                 await rig.start(place)
                 await rig.until_alike(PERIODS)
             await ready(rig)
-            await rig.until(lambda views: [f"{view['me']}: form {view['changes'].get('form')}" for view in views
-                                           if view["changes"].get("form") != 2], PERIODS)
+            await rig.until(
+                lambda views: [
+                    f"{view['me']}: form {view['changes'].get('form')}"
+                    for view in views
+                    if view["changes"].get("form") != 2
+                ],
+                PERIODS,
+            )
             third = await propose(rig, shards, kind=SHARDS)
             await rig.until(all_have(third, SHARDS), 2 * PERIODS)
             rig.check()
-            return {"holders_older": [name in {place.name for place in olds} for name in holders], "refused": told,
-                    "changes": [first, second, third]}
+            return {
+                "holders_older": [name in {place.name for place in olds} for name in holders],
+                "refused": told,
+                "changes": [first, second, third],
+            }
 
 
 async def older(rev: str, plays: int, seed: int) -> Report:
--- a/sageweir/lab/planted.py
+++ b/sageweir/lab/planted.py
@@ -40,8 +40,9 @@
 class NoSuspicion(View):
     """Takes whoever does not answer for dead."""
 
-    def _set(self, member: Member, record: Record, by: str, why: str, age_ms: float = 0.0, first: bool = False,
-             sent: int = 0) -> None:
+    def _set(
+        self, member: Member, record: Record, by: str, why: str, age_ms: float = 0.0, first: bool = False, sent: int = 0
+    ) -> None:
         if record.state is State.SUSPECT and by == self.me.name:
             record = record.said(State.DEAD)
         super()._set(member, record, by, why, age_ms, first, sent)
@@ -61,8 +62,9 @@
 class RaisesOthers(View):
     """Raises another's incarnation to have the last word."""
 
-    def _set(self, member: Member, record: Record, by: str, why: str, age_ms: float = 0.0, first: bool = False,
-             sent: int = 0) -> None:
+    def _set(
+        self, member: Member, record: Record, by: str, why: str, age_ms: float = 0.0, first: bool = False, sent: int = 0
+    ) -> None:
         if record.state is State.SUSPECT and by == self.me.name:
             record = structs.replace(record, incarnation=record.incarnation + 1)
         super()._set(member, record, by, why, age_ms, first, sent)
@@ -82,8 +84,19 @@
     """Does not look at the fleet's name."""
 
     def heard(self, now: float, packet: Packet) -> list[Action]:
-        return super().heard(now, Packet(self.fleet, packet.kind, packet.source, packet.count, packet.probe,
-                                         packet.digest, packet.target, packet.news))
+        return super().heard(
+            now,
+            Packet(
+                self.fleet,
+                packet.kind,
+                packet.source,
+                packet.count,
+                packet.probe,
+                packet.digest,
+                packet.target,
+                packet.news,
+            ),
+        )
 
 
 class NeverYields(View):
@@ -95,11 +108,16 @@
 
 
 PLANTED: dict[str, type[View]] = {
-    "refutation is off": NoRefutation, "the incarnation is not raised": SameIncarnation,
-    "the dead are never called again": DeadNotCalled, "a stop of its own is not noticed": BuriesAfterStops,
-    "no suspicion before death": NoSuspicion, "old words count": OldWordsCount,
-    "another's incarnation is raised": RaisesOthers, "the digest leaves out suspicion": DigestForgets,
-    "strangers are taken in": StrangersWelcome, "a name is fought for": NeverYields,
+    "refutation is off": NoRefutation,
+    "the incarnation is not raised": SameIncarnation,
+    "the dead are never called again": DeadNotCalled,
+    "a stop of its own is not noticed": BuriesAfterStops,
+    "no suspicion before death": NoSuspicion,
+    "old words count": OldWordsCount,
+    "another's incarnation is raised": RaisesOthers,
+    "the digest leaves out suspicion": DigestForgets,
+    "strangers are taken in": StrangersWelcome,
+    "a name is fought for": NeverYields,
 }
 
 
@@ -119,8 +137,9 @@
             self._post(member.record, Kind.NEWS, 0)
             silent = self.time - max(member.since, member.heard_at or 0.0)
             if member.record.living and silent > self.patience * self.tuning.period_ms:
-                self._set(member, member.record.said(State.DEAD), self.me.name,
-                          f"suspected for {silent:.0f} ms, 0 agreed")
+                self._set(
+                    member, member.record.said(State.DEAD), self.me.name, f"suspected for {silent:.0f} ms, 0 agreed"
+                )
 
     def _heard(self, source: Record) -> None:
         member = self.members.get(source.name)
@@ -140,5 +159,3 @@
 
     def _call_back(self) -> None:
         pass
-
-
--- a/sageweir/lab/plantedchanges.py
+++ b/sageweir/lab/plantedchanges.py
@@ -37,8 +37,9 @@
     def heard(self, now: float, held: Held) -> Out:
         out = super().heard(now, held)
         if self._round is not None and held.ok and held.number == self._round.number:
-            out += super().heard(now, structs.replace(held, keeper=next(
-                name for name in self.keepers if name not in self._round.yes)))
+            out += super().heard(
+                now, structs.replace(held, keeper=next(name for name in self.keepers if name not in self._round.yes))
+            )
         return out
 
 
--- a/sageweir/lab/plantedshards.py
+++ b/sageweir/lab/plantedshards.py
@@ -82,8 +82,10 @@
     """An epoch too little is undone."""
 
     def _overlay(self, asof: Mapping[str, Stamp]) -> dict[str, Sum] | None:
-        near = {name: Stamp(stamp.boot, min(stamp.seq + 1, self.books[name].seq)) if name in self.books else stamp
-                for name, stamp in asof.items()}
+        near = {
+            name: Stamp(stamp.boot, min(stamp.seq + 1, self.books[name].seq)) if name in self.books else stamp
+            for name, stamp in asof.items()
+        }
         return super()._overlay(near)
 
 
@@ -94,8 +96,11 @@
         if question.kind != BUSIEST or self.first == 0:
             return super()._found(question, overlay)
         every = super()._found(structs.replace(question, most=100), overlay)
-        return tuple(sorted(sorted(every, key=lambda one: one.key, reverse=True),
-                            key=lambda one: (-one.standing, -one.tried))[:question.most])
+        return tuple(
+            sorted(sorted(every, key=lambda one: one.key, reverse=True), key=lambda one: (-one.standing, -one.tried))[
+                : question.most
+            ]
+        )
 
 
 class StaleFull(Shelf):
--- a/sageweir/lab/points.py
+++ b/sageweir/lab/points.py
@@ -25,8 +25,15 @@
 
 ELECTORS, PERIODS, DUTY = 3, 160.0, "changer"
 NAMES = [f"m{i}" for i in range(6)]
-QUICK = {"permit_ms": 2000.0, "window_ms": 200.0, "least_ms": 600.0, "least_calls": 0, "block_ms": 500.0,
-         "settle_ms": 100.0, "soak_ms": 1100.0}  # too short for a trial
+QUICK = {
+    "permit_ms": 2000.0,
+    "window_ms": 200.0,
+    "least_ms": 600.0,
+    "least_calls": 0,
+    "block_ms": 500.0,
+    "settle_ms": 100.0,
+    "soak_ms": 1100.0,
+}  # too short for a trial
 FLEET = 9, ("z0", "z1", "z2")  # members and zones of the larger plays
 ROLES = ("holder", "elector", "member")  # who holds the duty when the change is proposed; others
 View = dict[str, Any]
@@ -34,6 +41,7 @@
 
 # What plays of changes share
 
+
 def write(rig: FleetRig, name: str, **rules: Any) -> Path:
     """A document of rules on this machine."""
     path = rig.places[0].folder.parent / name
@@ -45,8 +53,14 @@
     """All agree, every duty is held, and the register has been read."""
     await rig.until_alike(PERIODS)
     await rig.until_held(PERIODS)
-    await rig.until(lambda views: [] if any((view["changes"]["holder"] or {}).get("known") for view in views) else [
-        "no holder has read the register"], PERIODS)
+    await rig.until(
+        lambda views: (
+            []
+            if any((view["changes"]["holder"] or {}).get("known") for view in views)
+            else ["no holder has read the register"]
+        ),
+        PERIODS,
+    )
 
 
 async def propose(rig: FleetRig, path: Path, at: str = "", kind: str = "rules") -> int:
@@ -55,8 +69,13 @@
     What was said to be proposed is lost with its holder where that one loses the duty before the first step is written.
     """
     place = next(place for place in rig.up() if place.name == (at or rig.names[-1]))
-    before = max((max((view["changes"]["holder"] or {}).get("number", 0), view["changes"]["latest"])
-                  for view in await rig.views()), default=0)
+    before = max(
+        (
+            max((view["changes"]["holder"] or {}).get("number", 0), view["changes"]["latest"])
+            for view in await rig.views()
+        ),
+        default=0,
+    )
     told = ""
     for _ in range(40):
         if not (await rig.ask(place, f"change propose {kind} {path}")).startswith("SUCCESS"):
@@ -83,24 +102,36 @@
 
 def all_have(number: int, kind: str = "rules") -> Callable[[list[View]], list[str]]:
     """What is wrong until it is proven everywhere."""
+
     def so(views: list[View]) -> list[str]:
-        return [f"{view['me']}: {view['changes']}" for view in views
-                if view["changes"]["proven"].get(kind, [0])[0] != number or in_force(view, kind) != number]
+        return [
+            f"{view['me']}: {view['changes']}"
+            for view in views
+            if view["changes"]["proven"].get(kind, [0])[0] != number or in_force(view, kind) != number
+        ]
+
     return so
 
 
 def none_has(number: int, kind: str = "rules") -> Callable[[list[View]], list[str]]:
     """What is wrong until it has ended and nobody runs it."""
+
     def so(views: list[View]) -> list[str]:
-        return [f"{one['me']}: {one['changes']}" for one in views if one["changes"]["unproven"]
-                or in_force(one, kind) == number or one["changes"]["floor"] < number]
+        return [
+            f"{one['me']}: {one['changes']}"
+            for one in views
+            if one["changes"]["unproven"] or in_force(one, kind) == number or one["changes"]["floor"] < number
+        ]
+
     return so
 
 
 def settled(views: list[View]) -> list[str]:
     """What is wrong until the latest change, whatever became of it, has ended at all alike."""
-    here = [(view["changes"]["floor"], view["changes"]["rules"], view["changes"]["proven"].get("rules", [0])[0])
-            for view in views]
+    here = [
+        (view["changes"]["floor"], view["changes"]["rules"], view["changes"]["proven"].get("rules", [0])[0])
+        for view in views
+    ]
     holders = [view["changes"]["holder"] for view in views if view["changes"]["holder"]]
     if not holders or not holders[0].get("known") or holders[0]["phase"] not in ("none", "halted", "done"):
         return [f"the holder says {[(one['phase'], one['stage'], one['why']) for one in holders]}"]
@@ -116,6 +147,7 @@
 
 # Plays
 
+
 @dataclass(frozen=True, slots=True)
 class Where:
     """One fault: at the so-manieth pass of a point of the process in a role, from the proposal on."""
@@ -194,8 +226,12 @@
             raise Missed(f"change {second} comes after {number}")
         await rig.until(all_have(second), 2 * PERIODS)
         rig.check()
-        return Played(bool(hit), "done" if number in proven else "turned back",
-                      {role: counts.get(place.name, {}) for role, place in roles.items()}, int(bool(hit)))
+        return Played(
+            bool(hit),
+            "done" if number in proven else "turned back",
+            {role: counts.get(place.name, {}) for role, place in roles.items()},
+            int(bool(hit)),
+        )
 
 
 async def _watch(rig: FleetRig, place: Place, boots: dict[str, int]) -> str:
@@ -212,8 +248,9 @@
     for role, names in sorted(counts.items()):
         for name, passes in sorted(names.items()):
             numbers = {1, *(draw.randint(1, passes) for _ in range(each - 1))}
-            found += [Where(role, name, number, kind) for kind in KINDS if fits(name, kind)
-                      for number in sorted(numbers)]
+            found += [
+                Where(role, name, number, kind) for kind in KINDS if fits(name, kind) for number in sorted(numbers)
+            ]
     return found
 
 
@@ -242,10 +279,15 @@
     names = {(role, name) for role, found in counted.counts.items() for name in found}
     hits = [where for where, one in done if one.hit]
     report.figures |= {
-        "named_points": len(names), "passes": {role: sum(found.values()) for role, found in counted.counts.items()},
-        "plays": len(some), "hit": len(hits), "by_kind": dict(Counter(where.kind for where in hits)),
-        "ended": dict(Counter(one.ended for _, one in done)), "wrong": wrong[:10],
-        "by_point": dict(sorted(Counter(where.name for where in hits).items()))}
+        "named_points": len(names),
+        "passes": {role: sum(found.values()) for role, found in counted.counts.items()},
+        "plays": len(some),
+        "hit": len(hits),
+        "by_kind": dict(Counter(where.kind for where in hits)),
+        "ended": dict(Counter(one.ended for _, one in done)),
+        "wrong": wrong[:10],
+        "by_point": dict(sorted(Counter(where.name for where in hits).items())),
+    }
     report.bound("plays with a violation, or that did not come to agree again", len(wrong), 1)
     report.bound("part of the plays that came by their point", -len(hits) / max(1, len(some)), -0.5)
     return report
--- a/sageweir/lab/powersim.py
+++ b/sageweir/lab/powersim.py
@@ -197,8 +197,16 @@
     what it was at that time (ms) at the first power loss.
     """
 
-    def __init__(self, seed: int, cuts: tuple[int, ...] = (), plants: Plants | None = None, lies: bool = False,
-                 fails: tuple[tuple[int, int], ...] = (), old: float = 0.0, calls: int = 40) -> None:
+    def __init__(
+        self,
+        seed: int,
+        cuts: tuple[int, ...] = (),
+        plants: Plants | None = None,
+        lies: bool = False,
+        fails: tuple[tuple[int, int], ...] = (),
+        old: float = 0.0,
+        calls: int = 40,
+    ) -> None:
         self.draw, self.cuts, self.plants, self.old = Random(seed), list(cuts), plants or Plants(), old
         self.lies, self.now, self.lives, self.operations = lies, 0.0, 0, 0
         self.disk = FaultyDisk(Random(seed + 1), lies=lies, cut_at=self.cuts.pop(0) if self.cuts else 0, fails=fails)
@@ -242,8 +250,11 @@
             if not one.stands and one.lost < 0:
                 one.lost = self.now
         self.begin_at = self.now + self.draw.uniform(0, 400)
-        self.back = {call: self.begin_at + self.draw.uniform(0, 300) for call, words in self.seen.words.items()
-                     if "served" in words and self.draw.random() < 0.7}
+        self.back = {
+            call: self.begin_at + self.draw.uniform(0, 300)
+            for call, words in self.seen.words.items()
+            if "served" in words and self.draw.random() < 0.7
+        }
 
     def run(self, until: float = 6000.0) -> list[str]:
         """What is wrong, judged from both ends; empty: nothing."""
@@ -315,8 +326,11 @@
 
 def _plays(jobs: list[tuple[int, tuple[int, ...]]]) -> list[tuple[int, tuple[int, ...], list[str], int, int]]:
     logging.disable(logging.CRITICAL)  # what recoveries say of cut logs
-    return [(seed, cuts, sim.seen.found, sim.seen.lived_on, sim.seen.released) for seed, cuts in jobs
-            if (sim := play(seed, cuts))]
+    return [
+        (seed, cuts, sim.seen.found, sim.seen.lived_on, sim.seen.released)
+        for seed, cuts in jobs
+        if (sim := play(seed, cuts))
+    ]
 
 
 async def power(seeds: int, pairs: int, workers: int) -> Report:
@@ -329,11 +343,15 @@
         jobs += [(seed, (draw.randrange(1, most), draw.randrange(1, 40))) for _ in range(pairs)]
     found, lived, released = list[str](), 0, 0
     with ProcessPoolExecutor(workers) as pool:
-        for some in pool.map(_plays, [jobs[i:i + 20] for i in range(0, len(jobs), 20)]):
+        for some in pool.map(_plays, [jobs[i : i + 20] for i in range(0, len(jobs), 20)]):
             for seed, cuts, wrong, lives, lost in some:
                 lived, released = lived + lives, released + lost
                 found += [f"seed {seed}, power goes at {cuts}: {text}" for text in wrong[:2]]
-    report.figures |= {"plays": len(jobs), "violations": found[:20], "calls_that_lived_on": lived,
-                       "calls_released": released}
+    report.figures |= {
+        "plays": len(jobs),
+        "violations": found[:20],
+        "calls_that_lived_on": lived,
+        "calls_released": released,
+    }
     report.bound("violations", len(found), 1)
     return report
--- a/sageweir/lab/programs.py
+++ b/sageweir/lab/programs.py
@@ -27,8 +27,9 @@
 
 def name_of(root: Path) -> str:
     """A program's name, as its processes tell it."""
-    return fingerprint((str(path.relative_to(root)), path.read_bytes())
-                       for top in TOPS for path in (root / top).rglob("*.py"))
+    return fingerprint(
+        (str(path.relative_to(root)), path.read_bytes()) for top in TOPS for path in (root / top).rglob("*.py")
+    )
 
 
 def copy(where: Path, added: str = "") -> Path:
--- a/sageweir/lab/proxies.py
+++ b/sageweir/lab/proxies.py
@@ -69,8 +69,10 @@
     async def follow(self) -> None:
         """Keep a stream open; come back after a moment where it ends."""
         while True:
-            self._channel = grpc.aio.insecure_channel(self.given["target"], options=(
-                ("grpc.use_local_subchannel_pool", 1), ("grpc.max_receive_message_length", 1 << 24)))
+            self._channel = grpc.aio.insecure_channel(
+                self.given["target"],
+                options=(("grpc.use_local_subchannel_pool", 1), ("grpc.max_receive_message_length", 1 << 24)),
+            )
             method = self._channel.stream_stream(METHOD.format("Delta" if self.client.delta else "Stream"))
             self._call = method(wait_for_ready=True)
             self.streams += 1
@@ -127,8 +129,11 @@
                 self.no_route += 1
                 continue
             self.sent += 1
-            self.wires.send(address, b'{"msg":"open","sid":"%016x","attrs":{"class":"%b","left":"1500"},"text":""}\n'
-                            % (next(ids), name.encode()))
+            self.wires.send(
+                address,
+                b'{"msg":"open","sid":"%016x","attrs":{"class":"%b","left":"1500"},"text":""}\n'
+                % (next(ids), name.encode()),
+            )
 
 
 async def main() -> None:
@@ -156,17 +161,20 @@
             case "rate":
                 given["rate"] = command["rate"]
             case "held":
-                return [sum(1 for p in named if p.client.held.get(ENDPOINT)),
-                        sum(1 for p in named if p.client.route(classes[0][0], p.draw, time.time() * 1000))]
+                return [
+                    sum(1 for p in named if p.client.held.get(ENDPOINT)),
+                    sum(1 for p in named if p.client.route(classes[0][0], p.draw, time.time() * 1000)),
+                ]
             case "seen":
                 found = [[at for kind, at in p.seen if kind == ENDPOINT] for p in named]
                 for proxy in named:
                     proxy.seen.clear()
                 return found
             case "figures":
-                return {name: sum(getattr(p, name) for p in named)
-                        for name in ("bytes", "responses", "sent", "no_route", "streams")} | {
-                    "lapsed": sum(p.client.lapsed for p in named), "unsent": wires.unsent}
+                return {
+                    name: sum(getattr(p, name) for p in named)
+                    for name in ("bytes", "responses", "sent", "no_route", "streams")
+                } | {"lapsed": sum(p.client.lapsed for p in named), "unsent": wires.unsent}
         return {}
 
     await answer_lines(do)
--- a/sageweir/lab/registercheck.py
+++ b/sageweir/lab/registercheck.py
@@ -82,8 +82,9 @@
 class RegisterChecker:
     """Steps of the cores."""
 
-    def __init__(self, scope: RegisterScope, keeper: Callable[..., Keeper] = Keeper,
-                 writer: Callable[..., Writer] = Writer) -> None:
+    def __init__(
+        self, scope: RegisterScope, keeper: Callable[..., Keeper] = Keeper, writer: Callable[..., Writer] = Writer
+    ) -> None:
         self.scope, self._keeper_of, self._writer_of = scope, keeper, writer
         self.asked, self.recalled, self.started = cache(self._asked), cache(self._recalled), cache(self._started)
         self.told, self.begun = cache(self._told), cache(self._begun)
@@ -95,15 +96,19 @@
         one = self._keeper_of(NAMES[place], NAMES, LEASE, 0.0, 1, Kept(promised, Entry(term, turn, body_of(path))))
         one.promised, one.entry, one.intact = promised, Entry(term, turn, body_of(path)), intact
         one.out_until, one.time = (10 * LEASE, 0.0) if out else (0.0, 0.0 if patient else LEASE)
-        one.heard = {NAMES[at]: Held(NAMES[at], 1, False, may, t, n, body_of(p), ok)
-                     for at, ok, may, t, n, p in heard}
+        one.heard = {NAMES[at]: Held(NAMES[at], 1, False, may, t, n, body_of(p), ok) for at, ok, may, t, n, p in heard}
         return one
 
     @staticmethod
     def _of_keeper(one: Keeper, state: KeeperState) -> KeeperState:
-        heard = frozenset() if one.intact else frozenset(
-            (NAMES.index(name), held.intact, held.promised, held.term, held.turn, path_of(held.body))
-            for name, held in one.heard.items())
+        heard = (
+            frozenset()
+            if one.intact
+            else frozenset(
+                (NAMES.index(name), held.intact, held.promised, held.term, held.turn, path_of(held.body))
+                for name, held in one.heard.items()
+            )
+        )
         entry = one.entry.term, one.entry.turn, path_of(one.entry.body)
         if one.intact:
             return one.promised, entry, True, False, True, heard, frozenset()
@@ -112,8 +117,11 @@
     def _asked(self, place: int, state: KeeperState, word: tuple[Any, ...]) -> tuple[KeeperState, Held]:
         _, kind, term, turn, path, _ = word
         one = self._keeper(place, state)
-        held = one.claim(0.0, Claim(term, "h", 1)) if kind == "claim" else one.put(
-            0.0, Put(term, turn, body_of(path), "h", 1))
+        held = (
+            one.claim(0.0, Claim(term, "h", 1))
+            if kind == "claim"
+            else one.put(0.0, Put(term, turn, body_of(path), "h", 1))
+        )
         return self._of_keeper(one, state), held
 
     def _recalled(self, place: int, state: KeeperState, word: tuple[Any, ...]) -> KeeperState:
@@ -144,17 +152,33 @@
         one = self._writer_of(f"h{who}", NAMES, LEASE, 0)
         one.stage, one.term, one.turn, one.book = stage, term, turn, decode(body_of(book))
         one._body, one._wanted = body_of(body), decode(body_of(wanted)) if wanted is not None else None
-        one._round = _Round(0, 0.0, {NAMES[at]: Held(NAMES[at], 0, True, 0, t, n, body_of(p), True)
-                                     for at, t, n, p in yes}) if is_open else None
+        one._round = (
+            _Round(0, 0.0, {NAMES[at]: Held(NAMES[at], 0, True, 0, t, n, body_of(p), True) for at, t, n, p in yes})
+            if is_open
+            else None
+        )
         return one
 
     @staticmethod
     def _of_writer(one: Writer) -> WriterState:
         opened = one._round
-        yes = frozenset((NAMES.index(name), held.term, held.turn, path_of(held.body))
-                        for name, held in opened.yes.items()) if opened is not None else frozenset()
-        return (one.stage, one.term, one.turn, one.book.why, path_of(one._body),
-                one._wanted.why if one._wanted is not None else None, opened is not None, yes)
+        yes = (
+            frozenset(
+                (NAMES.index(name), held.term, held.turn, path_of(held.body)) for name, held in opened.yes.items()
+            )
+            if opened is not None
+            else frozenset()
+        )
+        return (
+            one.stage,
+            one.term,
+            one.turn,
+            one.book.why,
+            path_of(one._body),
+            one._wanted.why if one._wanted is not None else None,
+            opened is not None,
+            yes,
+        )
 
     def _told(self, who: int, state: WriterState, word: tuple[Any, ...]) -> tuple[WriterState, bool]:
         """An answer; whether another round began with it."""
@@ -196,8 +220,10 @@
             seen = (held.term, held.turn, path_of(held.body)) if word[1] == "claim" else (0, 0, "")
             answers |= {(word[0], place, *seen)}
         if after != state.keepers[place] or answers != state.answers:
-            yield f"{NAMES[place]} takes {word[1:5]}", state._replace(answers=answers, keepers=_put(
-                state.keepers, place, after))
+            yield (
+                f"{NAMES[place]} takes {word[1:5]}",
+                state._replace(answers=answers, keepers=_put(state.keepers, place, after)),
+            )
 
     def _answers(self, state: State, word: tuple[Any, ...]) -> Iterator[tuple[str, State]]:
         who = word[0]
@@ -225,8 +251,9 @@
         """A holder's round is over: its answers count no more, and keepers that started need not wait for it."""
         keepers = tuple((*one[:6], one[6] - {who}) for one in state.keepers)
         net = frozenset((*word[:5], word[5] and word[0] != who) for word in state.net)
-        return state._replace(keepers=keepers, net=net, answers=frozenset(
-            word for word in state.answers if word[0] != who))
+        return state._replace(
+            keepers=keepers, net=net, answers=frozenset(word for word in state.answers if word[0] != who)
+        )
 
     @staticmethod
     def _sent(state: State, who: int) -> State:
@@ -240,18 +267,24 @@
         recalls = frozenset(word for word in state.recalls if word[0] != place)
         if state.crashes < scope.crashes:
             after = self.starts(place, one, opened, False)
-            yield f"{name} starts anew", state._replace(crashes=state.crashes + 1, recalls=recalls,
-                                               keepers=_put(state.keepers, place, after))
+            yield (
+                f"{name} starts anew",
+                state._replace(crashes=state.crashes + 1, recalls=recalls, keepers=_put(state.keepers, place, after)),
+            )
         if state.losses < scope.losses:
             after = self.starts(place, one, opened, True)
-            yield f"{name} starts anew, its disk is empty", state._replace(
-                losses=state.losses + 1, recalls=recalls, keepers=_put(state.keepers, place, after))
+            yield (
+                f"{name} starts anew, its disk is empty",
+                state._replace(losses=state.losses + 1, recalls=recalls, keepers=_put(state.keepers, place, after)),
+            )
         if one[2]:
             return
         if one[3]:
             if not one[6]:
-                yield f"{name}'s lease is over", state._replace(keepers=_put(
-                    state.keepers, place, (*one[:3], False, *one[4:])))
+                yield (
+                    f"{name}'s lease is over",
+                    state._replace(keepers=_put(state.keepers, place, (*one[:3], False, *one[4:]))),
+                )
             return
         for other in range(3):
             if other != place:
@@ -261,11 +294,18 @@
                     yield f"{NAMES[other]} tells {name}", state._replace(recalls=state.recalls | {word})
         for word in state.recalls:
             if word[0] == place:
-                yield f"{name} hears {word[1:]}", state._replace(recalls=state.recalls - {word},
-                    keepers=_put(state.keepers, place, self.recalled(place, one, word)))
+                yield (
+                    f"{name} hears {word[1:]}",
+                    state._replace(
+                        recalls=state.recalls - {word},
+                        keepers=_put(state.keepers, place, self.recalled(place, one, word)),
+                    ),
+                )
         if one[4]:
-            yield f"{name}'s patience is over", state._replace(keepers=_put(
-                state.keepers, place, self.started(place, one)))
+            yield (
+                f"{name}'s patience is over",
+                state._replace(keepers=_put(state.keepers, place, self.started(place, one))),
+            )
 
     def _of_holder(self, state: State, who: int) -> Iterator[tuple[str, State]]:
         one, scope = state.writers[who], self.scope
@@ -278,8 +318,9 @@
             after = self.begun(who, one, "write", one[1])
             yield f"h{who} writes", self._sent(state._replace(writers=_put(state.writers, who, after)), who)
         # Asked again only where that matters: answers of the round that is over count no more.
-        if one[6] and (one[7] or any(word[0] == who for word in state.answers) or any(
-                who in keeper[6] for keeper in state.keepers)):
+        if one[6] and (
+            one[7] or any(word[0] == who for word in state.answers) or any(who in keeper[6] for keeper in state.keepers)
+        ):
             after = self.begun(who, one, "again", one[1])
             fresh = self._closed(state._replace(writers=_put(state.writers, who, after)), who)
             yield f"h{who} asks again", self._sent(fresh, who)
@@ -300,33 +341,52 @@
 
 
 def _put(some: tuple[Any, ...], at: int, one: Any) -> tuple[Any, ...]:
-    return (*some[:at], one, *some[at + 1:])
+    return (*some[:at], one, *some[at + 1 :])
 
 
 def _renamed(state: State) -> State:
     """Keepers are alike: they are put in an order by what each knows and what is on its way to and from it. Those that
     are alike in all this keep theirs, which leaves some states twice and none out.
     """
-    marks = [hash((one, *(frozenset(w[:1] + w[2:] for w in state.answers if w[1] == place),
-                          frozenset(w[2:] for w in state.recalls if w[0] == place),
-                          frozenset(y[1:] for w in state.writers for y in w[7] if y[0] == place),
-                          sum(1 << i for i, w in enumerate(state.writers) for y in w[7] if y[0] == place))))
-             for place, one in enumerate(state.keepers)]
+    marks = [
+        hash(
+            (
+                one,
+                *(
+                    frozenset(w[:1] + w[2:] for w in state.answers if w[1] == place),
+                    frozenset(w[2:] for w in state.recalls if w[0] == place),
+                    frozenset(y[1:] for w in state.writers for y in w[7] if y[0] == place),
+                    sum(1 << i for i, w in enumerate(state.writers) for y in w[7] if y[0] == place),
+                ),
+            )
+        )
+        for place, one in enumerate(state.keepers)
+    ]
     order = tuple(sorted(range(3), key=marks.__getitem__))
     if order == (0, 1, 2):
         return state
     to = {place: at for at, place in enumerate(order)}
-    keepers = tuple((*one[:5], frozenset((to[h[0]], *h[1:]) for h in one[5]), one[6])
-                    for one in (state.keepers[place] for place in order))
+    keepers = tuple(
+        (*one[:5], frozenset((to[h[0]], *h[1:]) for h in one[5]), one[6])
+        for one in (state.keepers[place] for place in order)
+    )
     writers = tuple((*w[:7], frozenset((to[y[0]], *y[1:]) for y in w[7])) for w in state.writers)
     return state._replace(
-        keepers=keepers, writers=writers, answers=frozenset((w[0], to[w[1]], *w[2:]) for w in state.answers),
-        recalls=frozenset((to[w[0]], to[w[1]], *w[2:]) for w in state.recalls))
-
-
-def explore_register(scope: RegisterScope, keeper: Callable[..., Keeper] = Keeper,
-                     writer: Callable[..., Writer] = Writer, most: int = 2_000_000, seconds: float = 1e9,
-                     deep: bool = False) -> RegisterFound:
+        keepers=keepers,
+        writers=writers,
+        answers=frozenset((w[0], to[w[1]], *w[2:]) for w in state.answers),
+        recalls=frozenset((to[w[0]], to[w[1]], *w[2:]) for w in state.recalls),
+    )
+
+
+def explore_register(
+    scope: RegisterScope,
+    keeper: Callable[..., Keeper] = Keeper,
+    writer: Callable[..., Writer] = Writer,
+    most: int = 2_000_000,
+    seconds: float = 1e9,
+    deep: bool = False,
+) -> RegisterFound:
     """All states, or as many as `most`, or as are seen in so many seconds; ends at the first violation. deep: what was
     found last is gone on from first.
     """
@@ -356,9 +416,21 @@
 async def register(scope: RegisterScope, seconds: float) -> Report:
     """One scope, as a report."""
     found = explore_register(scope, most=100_000_000, seconds=seconds)
-    report = Report("register", {"terms": scope.terms, "writes": scope.writes, "crashes": scope.crashes,
-                                 "losses": scope.losses, "seconds": seconds})
-    report.figures |= {"states": found.states, "whole": found.whole, "violation": found.violation,
-                       "trace": list(found.trace)}
+    report = Report(
+        "register",
+        {
+            "terms": scope.terms,
+            "writes": scope.writes,
+            "crashes": scope.crashes,
+            "losses": scope.losses,
+            "seconds": seconds,
+        },
+    )
+    report.figures |= {
+        "states": found.states,
+        "whole": found.whole,
+        "violation": found.violation,
+        "trace": list(found.trace),
+    }
     report.bound("violations", int(bool(found.violation)), 1)
     return report
--- a/sageweir/lab/report.py
+++ b/sageweir/lab/report.py
@@ -18,8 +18,12 @@
 
 def spread(values: list[float]) -> dict[str, float]:
     """p50, p99 and worst, rounded, and how many there are."""
-    return {"p50": round(percentile(values, 0.5), 2), "p99": round(percentile(values, 0.99), 2),
-            "worst": round(max(values, default=float("nan")), 2), "count": len(values)}
+    return {
+        "p50": round(percentile(values, 0.5), 2),
+        "p99": round(percentile(values, 0.99), 2),
+        "worst": round(max(values, default=float("nan")), 2),
+        "count": len(values),
+    }
 
 
 @dataclass(slots=True)
@@ -47,8 +51,11 @@
     def text(self) -> str:
         """Figures, bounds and aims as lines."""
         lines = [f"{self.experiment}: {orjson.dumps(self.given).decode()}"]
-        lines += [f"  {name}: {orjson.dumps(value).decode()}" for name, value in self.figures.items()
-                  if not name.startswith("_")]
+        lines += [
+            f"  {name}: {orjson.dumps(value).decode()}"
+            for name, value in self.figures.items()
+            if not name.startswith("_")
+        ]
         for kind, rows in (("bound", self.bounds), ("aim", self.aims)):
             for one in rows:
                 word = "kept" if one["kept"] else "MISSED"
@@ -57,9 +64,20 @@
 
     def write(self, path: Path) -> None:
         """All figures as JSON."""
-        path.write_bytes(orjson.dumps({
-            "experiment": self.experiment, "given": self.given, "figures": self.figures, "bounds": self.bounds,
-            "aims": self.aims, "kept": self.kept}, option=orjson.OPT_INDENT_2) + b"\n")
+        path.write_bytes(
+            orjson.dumps(
+                {
+                    "experiment": self.experiment,
+                    "given": self.given,
+                    "figures": self.figures,
+                    "bounds": self.bounds,
+                    "aims": self.aims,
+                    "kept": self.kept,
+                },
+                option=orjson.OPT_INDENT_2,
+            )
+            + b"\n"
+        )
 
 
 def plot_ecdf(path: Path, title: str, series: dict[str, list[float]], bound: float, axis: str, unit: str) -> None:
--- a/sageweir/lab/rig.py
+++ b/sageweir/lab/rig.py
@@ -61,12 +61,20 @@
 
 def settings(cold_ms: float) -> dict[str, Any]:
     """Two classes and the rules of the platform; cold_ms as the experiment wants it."""
-    return {"grades": [
-        {"name": "status-check", "worth": 1.0, "late_worth": 0.1, "promise_ms": 1500.0, "deadline_ms": 9000.0},
-        {"name": "release-check", "worth": 8.0, "late_worth": 0.25, "promise_ms": 1200.0, "deadline_ms": 6000.0}],
+    return {
+        "grades": [
+            {"name": "status-check", "worth": 1.0, "late_worth": 0.1, "promise_ms": 1500.0, "deadline_ms": 9000.0},
+            {"name": "release-check", "worth": 8.0, "late_worth": 0.25, "promise_ms": 1200.0, "deadline_ms": 6000.0},
+        ],
         "family_info": {"release_guard_ms": 300.0, "resend_ms": 400.0},
-        "rules": {"cold_from": 0.29, "cold_ms": cold_ms, "drain_grace_ms": 250.0, "fall_ms": 1000.0,
-                  "fall_multiple": 3.0}}
+        "rules": {
+            "cold_from": 0.29,
+            "cold_ms": cold_ms,
+            "drain_grace_ms": 250.0,
+            "fall_ms": 1000.0,
+            "fall_multiple": 3.0,
+        },
+    }
 
 
 class Worker:
@@ -79,8 +87,14 @@
     @classmethod
     async def start(cls, module: str, given: dict[str, Any]) -> Worker:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", module, orjson.dumps(given).decode(), limit=1 << 26,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            module,
+            orjson.dumps(given).decode(),
+            limit=1 << 26,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
         worker = cls(process)
         if await worker._line() != b"ready\n":
             raise RuntimeError(f"{module} did not start")
@@ -125,24 +139,46 @@
         for i, port in enumerate(self.ports):
             self.rows[f"s-{i}"] = row(f"s-{i}", port, i)
         if emulate:
-            self.machines = await Worker.start("sageweir.lab.servers", {
-                "model": {"work_ms": self.work_ms, "cold_ms": self.cold_ms, "cold_from": 0.29},
-                "fall_multiple": 3.0, "fall_ms": 1000.0, "ports": self.ports})
+            self.machines = await Worker.start(
+                "sageweir.lab.servers",
+                {
+                    "model": {"work_ms": self.work_ms, "cold_ms": self.cold_ms, "cold_from": 0.29},
+                    "fall_multiple": 3.0,
+                    "fall_ms": 1000.0,
+                    "ports": self.ports,
+                },
+            )
             for name, one in self.rows.items():
-                await self.machines.ask(do="start", port=int(one["hostPort"].partition(":")[2]), name=name,
-                                        started_ms=0.0)
+                await self.machines.ask(
+                    do="start", port=int(one["hostPort"].partition(":")[2]), name=name, started_ms=0.0
+                )
         self.feed.push(list(self.rows.values()), complete=True)
-        self._file.write_bytes(orjson.dumps({
-            "name": "lab", "seed": "5", "xds_listen": self.target, "rest_listen": f"127.0.0.1:{self.rest_port}",
-            "proxy_listen": "127.0.0.1:10000", "feed": f"127.0.0.1:{self.feed.port}",
-            "settings": settings(self.cold_ms), **self.control}))
+        self._file.write_bytes(
+            orjson.dumps(
+                {
+                    "name": "lab",
+                    "seed": "5",
+                    "xds_listen": self.target,
+                    "rest_listen": f"127.0.0.1:{self.rest_port}",
+                    "proxy_listen": "127.0.0.1:10000",
+                    "feed": f"127.0.0.1:{self.feed.port}",
+                    "settings": settings(self.cold_ms),
+                    **self.control,
+                }
+            )
+        )
         await self.start_service()
 
     async def start_service(self) -> None:
         """Start the control service; it listens when this returns."""
         self.service = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sageweir.control", "--config", str(self._file),
-            stderr=asyncio.subprocess.DEVNULL if "LAB_LOGS" not in os.environ else None)
+            sys.executable,
+            "-m",
+            "sageweir.control",
+            "--config",
+            str(self._file),
+            stderr=asyncio.subprocess.DEVNULL if "LAB_LOGS" not in os.environ else None,
+        )
         host, _, port = self.target.partition(":")
         for _ in range(200):
             try:
@@ -161,16 +197,37 @@
             self.service.send_signal(signal.SIGTERM)
         await self.service.wait()
 
-    async def add_proxies(self, count: int, processes: int, *, rate: float, delta: bool = True,
-                          leases: bool = True, back_s: tuple[float, float] = (0.02, 0.2)) -> None:
+    async def add_proxies(
+        self,
+        count: int,
+        processes: int,
+        *,
+        rate: float,
+        delta: bool = True,
+        leases: bool = True,
+        back_s: tuple[float, float] = (0.02, 0.2),
+    ) -> None:
         """Start so many proxies and wait until all hold routes. Raises RuntimeError where they don't."""
         first = 0
         started = []
         for i in range(processes):
             size = (count - first) // (processes - i)
-            started.append(Worker.start("sageweir.lab.proxies", {
-                "target": self.target, "first": first, "count": size, "rate": rate, "delta": delta,
-                "leases": leases, "seed": 7, "back_s": back_s, "classes": CLASSES}))
+            started.append(
+                Worker.start(
+                    "sageweir.lab.proxies",
+                    {
+                        "target": self.target,
+                        "first": first,
+                        "count": size,
+                        "rate": rate,
+                        "delta": delta,
+                        "leases": leases,
+                        "seed": 7,
+                        "back_s": back_s,
+                        "classes": CLASSES,
+                    },
+                )
+            )
             first += size
         self.proxies += await asyncio.gather(*started)
         await self.all_hold(count)
--- a/sageweir/lab/servers.py
+++ b/sageweir/lab/servers.py
@@ -21,8 +21,9 @@
 class Machine:
     """One server process at an address."""
 
-    def __init__(self, name: str, started_ms: float, model: Model, rule: tuple[float, float],
-                 hold_ms: float = 0.0) -> None:
+    def __init__(
+        self, name: str, started_ms: float, model: Model, rule: tuple[float, float], hold_ms: float = 0.0
+    ) -> None:
         self.name, self.processor = name, Processor(model, started_ms)
         self.cold = ColdRule(model, started_ms, *rule)
         self.times: list[float] = []
@@ -82,8 +83,9 @@
             if done is None:
                 self.say(b'{"msg":"close","sid":"%b","attrs":{},"code":42}\n' % sid)
             else:
-                loop.call_later((done - now) / 1000, self.say,
-                                b'{"msg":"ready","sid":"%b","attrs":{},"text":""}\n' % sid)
+                loop.call_later(
+                    (done - now) / 1000, self.say, b'{"msg":"ready","sid":"%b","attrs":{},"text":""}\n' % sid
+                )
                 if machine.hold_ms:
                     machine.standing.add(message["sid"])
                     loop.call_later((done - now + machine.hold_ms) / 1000, machine.release, message["sid"], self)
@@ -115,8 +117,7 @@
     def do(command: dict[str, Any]) -> object:
         match command["do"]:
             case "start":
-                machine = Machine(command["name"], command["started_ms"], model, rule,
-                                  given.get("hold_ms", 0.0))
+                machine = Machine(command["name"], command["started_ms"], model, rule, given.get("hold_ms", 0.0))
                 machines[command["port"]] = past[machine.name] = machine
             case "vanish":
                 machines.pop(command["port"], None)
@@ -124,14 +125,15 @@
                 return past[command["name"]].times
             case "cold":
                 machine = past[command["name"]]
-                return {"worst": machine.cold.worst, "at_ms": machine.cold.worst_at_ms,
-                        "set_ups": len(machine.times)}
+                return {"worst": machine.cold.worst, "at_ms": machine.cold.worst_at_ms, "set_ups": len(machine.times)}
             case "totals":
-                return {"set_ups": sum(len(m.times) for m in past.values()),
-                        "turned_away": sum(m.processor.turned_away for m in past.values()),
-                        "standing": sum(len(m.standing) for m in past.values()),
-                        "untold": [sid for m in past.values() for sid in m.untold],
-                        "classes": {m.name: m.classes for m in past.values()}}
+                return {
+                    "set_ups": sum(len(m.times) for m in past.values()),
+                    "turned_away": sum(m.processor.turned_away for m in past.values()),
+                    "standing": sum(len(m.standing) for m in past.values()),
+                    "untold": [sid for m in past.values() for sid in m.untold],
+                    "classes": {m.name: m.classes for m in past.values()},
+                }
         return {}
 
     await answer_lines(do)
--- a/sageweir/lab/shards.py
+++ b/sageweir/lab/shards.py
@@ -27,34 +27,50 @@
     jobs, points = [], {}
     for back in (False, True):
         points[back] = play(1, back=back).points
-        jobs += [(1, number, kind, back) for i, kind in enumerate(POINT_KINDS)
-                 for number in range(1 + i * 7 % every, points[back] + 1, every)]
+        jobs += [
+            (1, number, kind, back)
+            for i, kind in enumerate(POINT_KINDS)
+            for number in range(1 + i * 7 % every, points[back] + 1, every)
+        ]
     wrong, verdicts, hits = list[str](), Counter[str](), 0
     for number, kind, played in pool.map(play_point, jobs, chunksize=4):
         wrong += _wrong(f"point {number}, {kind}", played)
         verdicts.update(played.compared)
         hits += bool(played.hit)
-    report.figures["points"] = {"points": points[False], "turned_back": points[True], "plays": len(jobs), "hit": hits,
-                                "dual_reads": dict(verdicts), "wrong": wrong[:10]}
+    report.figures["points"] = {
+        "points": points[False],
+        "turned_back": points[True],
+        "plays": len(jobs),
+        "hit": hits,
+        "dual_reads": dict(verdicts),
+        "wrong": wrong[:10],
+    }
     report.bound("plays with a fault at a point and a violation or a false disagreement", len(wrong), 1)
 
 
 def _wrong(what: str, played: Played) -> list[str]:
     return [f"{what}: {played.hit} {text}" for text in played.found] + (
-        [f"{what}: {played.hit} {played.disagreed} dual reads disagree"] if played.disagreed else [])
+        [f"{what}: {played.hit} {played.disagreed} dual reads disagree"] if played.disagreed else []
+    )
 
 
 def _seeds(report: Report, seeds: int, pool: ProcessPoolExecutor) -> None:
     draw = Random(7)
     jobs: list[tuple[int, dict[int, str], bool]] = [(seed, {}, seed % 3 == 0) for seed in range(1, seeds + 1)]
-    jobs += [(seed, {draw.randrange(1, 9000): draw.choice(POINT_KINDS) for _ in range(2)}, seed % 3 == 0)
-             for seed in range(seeds + 1, 2 * seeds + 1)]
+    jobs += [
+        (seed, {draw.randrange(1, 9000): draw.choice(POINT_KINDS) for _ in range(2)}, seed % 3 == 0)
+        for seed in range(seeds + 1, 2 * seeds + 1)
+    ]
     wrong, verdicts = list[str](), Counter[str]()
     for seed, faults, played in pool.map(play_faults, jobs, chunksize=4):
         wrong += _wrong(f"seed {seed}, {faults}", played)
         verdicts.update(played.compared)
-    report.figures["seeds"] = {"plays": len(jobs), "with_two_faults": seeds, "dual_reads": dict(verdicts),
-                               "wrong": wrong[:10]}
+    report.figures["seeds"] = {
+        "plays": len(jobs),
+        "with_two_faults": seeds,
+        "dual_reads": dict(verdicts),
+        "wrong": wrong[:10],
+    }
     report.bound("seeds with a violation, a false disagreement, or no end", len(wrong), 1)
 
 
@@ -95,15 +111,28 @@
                 at = time.perf_counter()
                 shelves[0, SPACE].ask(2.0, Ask(0, SPACE, question, asof), living)
                 whole_waits.setdefault(f"{kind}{', as of' if asof else ''}", []).append(
-                    (time.perf_counter() - at) * 1000)
-    return {"numbers": numbers, "members": members, "bytes_a_number_at_its_owner": round(memory / numbers),
-            "pages": pages, "bytes_a_number_sent": round(sent / numbers, 1), "seconds_to_fill": round(took, 2),
-            "page_ms": spread(waits),
-            "question_ms": {kind: spread(some) for kind, some in whole_waits.items()}}
-
-
-def _fill(accounts: dict[str, Account], living: dict[str, int], shards: tuple[Shard, ...],
-          shelves: dict[tuple[int, int], Shelf], waits: list[float], now: float) -> tuple[int, int]:
+                    (time.perf_counter() - at) * 1000
+                )
+    return {
+        "numbers": numbers,
+        "members": members,
+        "bytes_a_number_at_its_owner": round(memory / numbers),
+        "pages": pages,
+        "bytes_a_number_sent": round(sent / numbers, 1),
+        "seconds_to_fill": round(took, 2),
+        "page_ms": spread(waits),
+        "question_ms": {kind: spread(some) for kind, some in whole_waits.items()},
+    }
+
+
+def _fill(
+    accounts: dict[str, Account],
+    living: dict[str, int],
+    shards: tuple[Shard, ...],
+    shelves: dict[tuple[int, int], Shelf],
+    waits: list[float],
+    now: float,
+) -> tuple[int, int]:
     """Bytes and pages; waits: how long each page kept its owner, ms."""
     sent = pages = 0
     for name, boot in living.items():
@@ -130,7 +159,10 @@
         _planted(report, pool)
         if big is not None:
             found = report.figures["large"] = big.result()
-            report.bound("ms for one number's question, as of a vector, p99",
-                         found["question_ms"][f"{NUMBER}, as of"]["p99"], LONGEST_MS)
+            report.bound(
+                "ms for one number's question, as of a vector, p99",
+                found["question_ms"][f"{NUMBER}, as of"]["p99"],
+                LONGEST_MS,
+            )
             report.bound("ms that the longest page of the filling keeps its owner", found["page_ms"]["worst"], LOOP_MS)
     return report
--- a/sageweir/lab/shardsim.py
+++ b/sageweir/lab/shardsim.py
@@ -62,10 +62,19 @@
     found: what was wrong; compared: of dual reads, by verdict.
     """
 
-    def __init__(self, seed: int, members: int = 4, faults: Mapping[int, str] | None = None, back: bool = False,
-                 dies: tuple[str, float] | None = None, shelf: Callable[..., Shelf] = Shelf,
-                 sender: Callable[..., Sender] = Sender, account: Callable[..., Account] = Account,
-                 dual: Callable[..., DualRead] = DualRead, blind: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        members: int = 4,
+        faults: Mapping[int, str] | None = None,
+        back: bool = False,
+        dies: tuple[str, float] | None = None,
+        shelf: Callable[..., Shelf] = Shelf,
+        sender: Callable[..., Sender] = Sender,
+        account: Callable[..., Account] = Account,
+        dual: Callable[..., DualRead] = DualRead,
+        blind: bool = False,
+    ) -> None:
         """blind: answers are not held against the truth, so that only dual reads can find a fault."""
         self.blind = blind
         self.draw, self.now, self.count = Random(seed), 0.0, 0
@@ -213,7 +222,7 @@
             return
         if not self.quiet:
             for _ in range(self.draw.randrange(4)):
-                number = self.draw.choice(NUMBERS[:1 + int(len(NUMBERS) * self.draw.random() ** 2)])
+                number = self.draw.choice(NUMBERS[: 1 + int(len(NUMBERS) * self.draw.random() ** 2)])
                 keys = [number_key(number), tenant_key(self.draw.choice(TENANTS))]
                 process.account.took(keys)
                 process.standing.update(keys)
@@ -235,7 +244,7 @@
         number = self.draw.choice(NUMBERS)
         match self.draw.choice(KINDS):
             case kind if kind == PREFIX:
-                return Question(PREFIX, number[:self.draw.randrange(len(number) + 1)])
+                return Question(PREFIX, number[: self.draw.randrange(len(number) + 1)])
             case kind if kind == BUSIEST:
                 return Question(BUSIEST, "", self.draw.randint(1, self.draw.choice([2, len(NUMBERS) // 2])))
             case kind if kind == TENANT:
@@ -247,8 +256,13 @@
         for group in groups(self.proven[process.name], self.coming[process.name] or self.old):
             if asked_of(question, group.old):
                 dual = self.makers[3](question, group, self.living())
-                self._drive(process, dual, dual.start(), lambda dual=dual: dual.compared is not None,  # type: ignore[misc]
-                            partial(self._compared, dual))
+                self._drive(
+                    process,
+                    dual,
+                    dual.start(),
+                    lambda dual=dual: dual.compared is not None,  # type: ignore[misc]
+                    partial(self._compared, dual),
+                )
 
     def _compared(self, dual: DualRead) -> None:
         compared = dual.compared
@@ -259,8 +273,9 @@
         if compared.verdict is Verdict.DISAGREE:
             self.disagreed.append(compared)
 
-    def _drive(self, process: Process, what: Reading | DualRead, out: Out, over: Callable[[], bool],
-               then: Callable[[], None]) -> None:
+    def _drive(
+        self, process: Process, what: Reading | DualRead, out: Out, over: Callable[[], bool], then: Callable[[], None]
+    ) -> None:
         ended = False
 
         def answered(number: int, reply: Any) -> None:
@@ -330,7 +345,7 @@
         lines = [Found(key, *total) for key, total in sums.items()]
         match question.kind:
             case kind if kind == BUSIEST:
-                return tuple(sorted((one for one in lines if one.key.startswith("n:")), key=rank)[:question.most])
+                return tuple(sorted((one for one in lines if one.key.startswith("n:")), key=rank)[: question.most])
             case kind if kind == PREFIX:
                 key, some = f"n:{question.what}", [one for one in lines if one.key.startswith(f"n:{question.what}")]
             case kind:
@@ -347,8 +362,9 @@
             self.found.append(f"at {self.now:.0f}: {owner.name} speaks of {error}, which never was")
             return
         if reply.found != true:
-            self.found.append(f"at {self.now:.0f}: {owner.name} answers {ask.question} with {reply.found}, "
-                              f"true is {true}")
+            self.found.append(
+                f"at {self.now:.0f}: {owner.name} answers {ask.question} with {reply.found}, true is {true}"
+            )
 
     def wrong_in_the_end(self) -> list[str]:
         """Every question by every map in force, asked of the owners' shelves as they are."""
@@ -376,14 +392,19 @@
     by_name: dict[str, int]
 
 
-def play(seed: int, faults: Mapping[int, str] | None = None, back: bool = False,
-         dies: tuple[str, float] | None = None, members: int = 4, **makers: Any) -> Played:
+def play(
+    seed: int,
+    faults: Mapping[int, str] | None = None,
+    back: bool = False,
+    dies: tuple[str, float] | None = None,
+    members: int = 4,
+    **makers: Any,
+) -> Played:
     """Filled, split, compared, cut over or turned back; then quiet, and all must be there."""
     sim = ShardSimulator(seed, members, faults, back, dies, **makers)
     sim.run(5000.0)
     enough = 3
-    while not sim.found and not sim.disagreed and sim.now < 40_000.0 and min(
-            sim.full[kind] for kind in KINDS) < enough:
+    while not sim.found and not sim.disagreed and sim.now < 40_000.0 and min(sim.full[kind] for kind in KINDS) < enough:
         sim.run(sim.now + 250.0)
     found = list(sim.found)
     if not found and not sim.disagreed and min(sim.full[kind] for kind in KINDS) < enough:
@@ -401,8 +422,10 @@
         if not found and (answer is None or not answer.complete):
             found.append(f"the last question is answered with {answer}")
         elif not found and answer is not None:
-            parts = [sim.true(reading.question, shard.first, shard.last, answer.vectors[shard.first])
-                     for shard in sim.proven["m0"].shards]
+            parts = [
+                sim.true(reading.question, shard.first, shard.last, answer.vectors[shard.first])
+                for shard in sim.proven["m0"].shards
+            ]
             if answer.found != merge(reading.question, parts):
                 found.append(f"the last answer is {answer.found}, true is {merge(reading.question, parts)}")
     return Played(sim.points, tuple(found[:3]), len(sim.disagreed), sim.hit, dict(sim.compared), dict(sim.by_name))
--- a/sageweir/lab/simulate.py
+++ b/sageweir/lab/simulate.py
@@ -46,8 +46,18 @@
 class Simulator:
     """A fleet. Times are ms; a script's are periods. Everything follows from the seed."""
 
-    def __init__(self, names: Sequence[str], seed: int, tuning: Tuning, make: Maker = View, seeds: int = 3,
-                 zones: int = 2, floor: int = 1, audit: bool = True, measure: bool = False) -> None:
+    def __init__(
+        self,
+        names: Sequence[str],
+        seed: int,
+        tuning: Tuning,
+        make: Maker = View,
+        seeds: int = 3,
+        zones: int = 2,
+        floor: int = 1,
+        audit: bool = True,
+        measure: bool = False,
+    ) -> None:
         """seeds: how many of the members are in the join list; measure: count bytes too, which takes its time."""
         self.draw, self.tuning, self.make, self.floor = Random(seed), tuning, make, floor
         self.audit, self.measure, self.zones = audit, measure, zones
@@ -74,8 +84,14 @@
         address = address or self.home[name]
         boot = self.draw.getrandbits(60)
         zone = f"z{self.names.index(name) % self.zones}" if name in self.names else ""
-        view = self.make("fleet", Record(name, 0, boot, State.ALIVE, *address, zone), self.join, self.tuning,
-                         Random(self.draw.getrandbits(60)), self.floor)
+        view = self.make(
+            "fleet",
+            Record(name, 0, boot, State.ALIVE, *address, zone),
+            self.join,
+            self.tuning,
+            Random(self.draw.getrandbits(60)),
+            self.floor,
+        )
         node = Node(name, boot, address, view)
         self.nodes.append(node)
         self.at[address] = node
@@ -259,8 +275,11 @@
         """Whether all views hold exactly who lives."""
         living = {node.name for node in self.living()}
         members = [node.view for node in self.living() if not node.view.away]
-        return len({view.digest for view in members}) == 1 and \
-            {record.name for record in members[0].living} == living and len(members) == len(living)
+        return (
+            len({view.digest for view in members}) == 1
+            and {record.name for record in members[0].living} == living
+            and len(members) == len(living)
+        )
 
     def until_alike(self, periods: float, step: float = 0.5, stay: float = 5.0) -> float | None:
         """Run until the views are alike and stay so; the periods until they were, None where that is not in time."""
@@ -275,12 +294,22 @@
 
     def verdict(self) -> list[str]:
         """All violations now that the views should agree."""
-        return check_audits([node.rows for node in self.nodes], self.tuning, set(self.names), self.stops) \
-            + check_views(self.views(), {node.name for node in self.living()}) + check_digests(self.views())
-
-
-def play_seed(seed: int, members: int, tuning: Tuning, script: Sequence[Fault], quiet: float = 60.0,
-              make: Maker = View, seeds: int = 3) -> tuple[list[str], float | None]:
+        return (
+            check_audits([node.rows for node in self.nodes], self.tuning, set(self.names), self.stops)
+            + check_views(self.views(), {node.name for node in self.living()})
+            + check_digests(self.views())
+        )
+
+
+def play_seed(
+    seed: int,
+    members: int,
+    tuning: Tuning,
+    script: Sequence[Fault],
+    quiet: float = 60.0,
+    make: Maker = View,
+    seeds: int = 3,
+) -> tuple[list[str], float | None]:
     """One fleet under one script: violations, and the periods from its last fault's end to equal views."""
     names = [f"m{i}" for i in range(members)]
     sim = Simulator(names, seed, tuning, make, seeds)
--- a/sageweir/lab/store.py
+++ b/sageweir/lab/store.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from contextlib import closing
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -32,8 +33,11 @@
         commit()
         took.append((time.perf_counter() - at) * 1000)
     spent = time.perf_counter() - began
-    return {"p50_ms": round(percentile(took, 0.5), 3), "p99_ms": round(percentile(took, 0.99), 3),
-            "records_a_second": round(commits * group / spent)}
+    return {
+        "p50_ms": round(percentile(took, 0.5), 3),
+        "p99_ms": round(percentile(took, 0.99), 3),
+        "records_a_second": round(commits * group / spent),
+    }
 
 
 def levels(folder: Path, commits: int, group: int) -> dict[str, dict[str, float]]:
@@ -72,13 +76,14 @@
                         turn.put(number.to_bytes(8, "big"), body, append=True)
                 waiting.clear()
 
-            found[f"LMDB, {'sync' if sync else 'no sync'}"] = _ms(
-                commits, group, lambda waiting=waiting: waiting.append(BODY), write)  # type: ignore[misc]
+            keep = partial(waiting.append, BODY)
+            found[f"LMDB, {'sync' if sync else 'no sync'}"] = _ms(commits, group, keep, write)
     return found
 
 
 def recovery(folder: Path, records: int) -> dict[str, float]:
     """Time to recover so many records, and the same where a snapshot stands for nine tenths of them; s."""
+
     def filled(name: str, snapshot: bool) -> Path:
         place = folder / f"{name}-{records}"
         log = Log(RealFiles(place), OWNER, Level.NONE)
@@ -109,8 +114,12 @@
     at = time.perf_counter()
     with closing(sqlite3.connect(place)) as base:
         count = sum(1 for _ in base.execute("SELECT body FROM log ORDER BY number"))
-    return {"log_s": round(whole, 3), "log_with_snapshot_s": round(part, 3),
-            "sqlite_s": round(time.perf_counter() - at, 3), "lost": 2 * records - last - other + records - count}
+    return {
+        "log_s": round(whole, 3),
+        "log_with_snapshot_s": round(part, 3),
+        "sqlite_s": round(time.perf_counter() - at, 3),
+        "lost": 2 * records - last - other + records - count,
+    }
 
 
 def spoilt(seeds: int) -> dict[str, int]:
@@ -128,8 +137,10 @@
     def clean(disk: FaultyDisk, least: int) -> bool:
         recovered = Log(disk, OWNER).recovered
         before = int(recovered.state or 0)
-        return recovered.records == bodies[before:before + len(recovered.records)] \
+        return (
+            recovered.records == bodies[before : before + len(recovered.records)]
             and before + len(recovered.records) >= least
+        )
 
     disk = FaultyDisk(Random(1))
     fill(disk, [])
@@ -171,11 +182,18 @@
     one, many = report.figures["commits_of_1"], report.figures["commits_of_16"]
     report.bound("cuts, flips and power cuts without a clean prefix", report.figures["spoilt"]["not_clean"], 1)
     report.bound("records lost in recovery", sum(one["lost"] for one in report.figures["recovery"].values()), 1)
-    report.bound("a commit of each record, p50, over SQLite's with full syncs",
-                 one["log, each"]["p50_ms"] / one["SQLite, full"]["p50_ms"], 1.5)
-    report.bound("a commit of 16 records, p50, over SQLite's with full syncs",
-                 many["log, each"]["p50_ms"] / many["SQLite, full"]["p50_ms"], 1.5)
+    report.bound(
+        "a commit of each record, p50, over SQLite's with full syncs",
+        one["log, each"]["p50_ms"] / one["SQLite, full"]["p50_ms"],
+        1.5,
+    )
+    report.bound(
+        "a commit of 16 records, p50, over SQLite's with full syncs",
+        many["log, each"]["p50_ms"] / many["SQLite, full"]["p50_ms"],
+        1.5,
+    )
     last = report.figures["recovery"][str(sizes[-1])]
-    report.bound("recovery with a snapshot of nine tenths, part of the whole",
-                 last["log_with_snapshot_s"] / last["log_s"], 0.35)
+    report.bound(
+        "recovery with a snapshot of nine tenths, part of the whole", last["log_with_snapshot_s"] / last["log_s"], 0.35
+    )
     return report
--- a/sageweir/lab/upgrade.py
+++ b/sageweir/lab/upgrade.py
@@ -37,8 +37,14 @@
     met: int = 0
 
     def told(self, sid: str, message: dict[str, Any]) -> None:
-        word = {"ready": "served", "close": "over" if "served" in self.words[sid] else
-                "refused" if message.get("code") in (34, 42, 102) else "failed"}[message["msg"]]
+        word = {
+            "ready": "served",
+            "close": "over"
+            if "served" in self.words[sid]
+            else "refused"
+            if message.get("code") in (34, 42, 102)
+            else "failed",
+        }[message["msg"]]
         self.words[sid].append(word)
 
 
@@ -63,8 +69,13 @@
             if self.writer is None or self.writer.is_closing():
                 self.seen.met += 1
                 continue
-            self.say({"msg": "open", "sid": sid, "attrs": {
-                "class": "status-check", "left": f"{LEFT_MS:.0f}", "key": sid, "extras": "dest:0"}})
+            self.say(
+                {
+                    "msg": "open",
+                    "sid": sid,
+                    "attrs": {"class": "status-check", "left": f"{LEFT_MS:.0f}", "key": sid, "extras": "dest:0"},
+                }
+            )
         await asyncio.sleep(LEFT_MS / 1000 + GRACE_S)
         reading.cancel()
         if self.writer is not None:
@@ -109,11 +120,23 @@
     @classmethod
     async def start(cls, config: Path, held: socket.socket, folder: str) -> Process:
         admin = f"127.0.0.1:{free_ports(1)[0]}"
-        environ = os.environ | {"NODE_CONFIG": str(config), "NODE_ADMIN_ADDR": admin, "TMPDIR": folder,
-                                "NODE_SOCKET_FD": str(held.fileno())}
-        return cls(await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sageweir", env=environ, pass_fds=(held.fileno(),),
-            stderr=None if "LAB_LOGS" in os.environ else asyncio.subprocess.DEVNULL), admin)
+        environ = os.environ | {
+            "NODE_CONFIG": str(config),
+            "NODE_ADMIN_ADDR": admin,
+            "TMPDIR": folder,
+            "NODE_SOCKET_FD": str(held.fileno()),
+        }
+        return cls(
+            await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "sageweir",
+                env=environ,
+                pass_fds=(held.fileno(),),
+                stderr=None if "LAB_LOGS" in os.environ else asyncio.subprocess.DEVNULL,
+            ),
+            admin,
+        )
 
     async def ready(self) -> float:
         """Wait for its yes; how long it took, ms."""
@@ -152,19 +175,37 @@
     known = {"n": 1, "events": [{"n": 1, "members": {"generation": 1, "reset": True, "instances": rows}}]}
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
-        path.write_bytes(orjson.dumps({
-            "name": "lab", "listen": f"127.0.0.1:{listen.getsockname()[1]}", "seed": "5", "limits": LIMITS,
-            "known": known, "settings": settings(2000.0)}))
+        path.write_bytes(
+            orjson.dumps(
+                {
+                    "name": "lab",
+                    "listen": f"127.0.0.1:{listen.getsockname()[1]}",
+                    "seed": "5",
+                    "limits": LIMITS,
+                    "known": known,
+                    "settings": settings(2000.0),
+                }
+            )
+        )
         yield path, folder
 
 
 async def play(case: str, upgrades: int, callers: int, rate: float) -> dict[str, Any]:
     """One case: sound; the old process killed 50 ms after SIGTERM; a new one that dies before each upgrade."""
-    with socket.create_server(("127.0.0.1", 0), backlog=512) as held, \
-            configuration(ports := free_ports(3), held) as (path, folder):
-        machines = await Worker.start("sageweir.lab.servers", {
-            "model": {"work_ms": 4.0, "cold_ms": 0.0}, "fall_multiple": 3.0, "fall_ms": 1000.0, "ports": ports,
-            "hold_ms": HOLD_MS})
+    with (
+        socket.create_server(("127.0.0.1", 0), backlog=512) as held,
+        configuration(ports := free_ports(3), held) as (path, folder),
+    ):
+        machines = await Worker.start(
+            "sageweir.lab.servers",
+            {
+                "model": {"work_ms": 4.0, "cold_ms": 0.0},
+                "fall_multiple": 3.0,
+                "fall_ms": 1000.0,
+                "ports": ports,
+                "hold_ms": HOLD_MS,
+            },
+        )
         for i, port in enumerate(ports):
             await machines.ask(do="start", port=port, name=f"s-{i}", started_ms=0.0)
         seen, yes, ends, peaks = Seen(), list[float](), list[float](), list[tuple[float, int]]()
@@ -180,8 +221,10 @@
 
         watching = asyncio.create_task(watch())
         until = time.time() + 1.0 + 2.0 * upgrades
-        calls = [asyncio.create_task(Caller(held.getsockname()[1], seen, i).run(rate / callers, until))
-                 for i in range(callers)]
+        calls = [
+            asyncio.create_task(Caller(held.getsockname()[1], seen, i).run(rate / callers, until))
+            for i in range(callers)
+        ]
         for _ in range(upgrades):
             await asyncio.sleep(1.0)
             if case == "new_dies":
@@ -208,13 +251,19 @@
     last = [words[-1] if words else "unanswered" for words in seen.words.values()]
     finals = [[word for word in words if word != "over"] for words in seen.words.values()]
     return {
-        "requests": len(last), **{word: sum(word in words for words in seen.words.values())
-                                  for word in ("served", "refused", "failed")},
-        "unanswered": last.count("unanswered"), "answered_twice": sum(len(words) > 1 for words in finals),
-        "never_over": last.count("served"), "standing_at_servers": totals["standing"],
-        "connections_closed": seen.closed, "requests_that_met_it": seen.met,
-        "yes_ms": spread(yes), "old_ended_ms": spread(ends),
-        "memory_mb": round(max(memory for memory, _ in peaks), 1), "descriptors": max(count for _, count in peaks)}
+        "requests": len(last),
+        **{word: sum(word in words for words in seen.words.values()) for word in ("served", "refused", "failed")},
+        "unanswered": last.count("unanswered"),
+        "answered_twice": sum(len(words) > 1 for words in finals),
+        "never_over": last.count("served"),
+        "standing_at_servers": totals["standing"],
+        "connections_closed": seen.closed,
+        "requests_that_met_it": seen.met,
+        "yes_ms": spread(yes),
+        "old_ended_ms": spread(ends),
+        "memory_mb": round(max(memory for memory, _ in peaks), 1),
+        "descriptors": max(count for _, count in peaks),
+    }
 
 
 async def upgrade(upgrades: int, callers: int, rate: float) -> Report:
--- a/sageweir/lab/view.py
+++ b/sageweir/lab/view.py
@@ -28,7 +28,10 @@
 DEATH_PLAYS, DEATH_HOURS = 4, 0.2  # seeds at least, the same for each way, and hours of one at most
 PLAIN = Tuning(health_max=0, buddy=False, own_stalls=False)  # SWIM without local health
 WAYS: dict[str, tuple[Maker, Tuning]] = {
-    "view": (View, Tuning()), "without local health": (View, PLAIN), "heartbeats": (Heartbeats, PLAIN)}
+    "view": (View, Tuning()),
+    "without local health": (View, PLAIN),
+    "heartbeats": (Heartbeats, PLAIN),
+}
 
 
 def _names(members: int) -> list[str]:
@@ -47,6 +50,7 @@
 
 # Pieces that run in a process each: all take one tuple, and give plain figures
 
+
 def size_figures(given: tuple[int, int]) -> dict[str, Any]:
     """Traffic when nothing happens, and the time from a crash to the last that knows."""
     members, seed = given
@@ -57,9 +61,11 @@
     began = time.process_time()
     sim.run(periods)
     cpu = time.process_time() - began
-    traffic = {"datagrams": mean(node.sent for node in sim.nodes) / periods,
-               "bytes": mean(node.sent_bytes for node in sim.nodes) / periods,
-               "cpu_us": cpu / members / periods * 1e6}
+    traffic = {
+        "datagrams": mean(node.sent for node in sim.nodes) / periods,
+        "bytes": mean(node.sent_bytes for node in sim.nodes) / periods,
+        "cpu_us": cpu / members / periods * 1e6,
+    }
     sim.measure = False
     took: list[float] = []
     for victim in Random(seed).sample(sim.names, min(5, members // 3)):
@@ -90,7 +96,7 @@
     """From the end of a partition in two to equal views."""
     members, seed = given
     sim = _up(members, seed, audit=False)
-    script = partition(0.0, 60.0, [sim.names[:members // 2], sim.names[members // 2:]])
+    script = partition(0.0, 60.0, [sim.names[: members // 2], sim.names[members // 2 :]])
     sim.play(script)
     sim.run(last_end(script))
     took = sim.until_alike(100.0)
@@ -160,6 +166,7 @@
 
 # Real processes
 
+
 def _process(pid: int) -> tuple[float, float]:
     """Resident memory, MiB, and processor seconds so far."""
     status = Path(f"/proc/{pid}/status").read_text()
@@ -171,19 +178,23 @@
 async def real(members: int, period_ms: float) -> dict[str, Any]:
     """A crash, a partition and a stop among real processes; safety by their audit files."""
     names = _names(members)
-    half = partition(0.0, 20.0, [names[: members // 2], names[members // 2:]])
+    half = partition(0.0, 20.0, [names[: members // 2], names[members // 2 :]])
     stop = [Fault(0.0, "stop", (names[1],), lasts=30.0)]
     async with FleetRig(names, [*half, *stop], period_ms=period_ms) as rig:
-        figures: dict[str, Any] = {"members": members, "period_ms": period_ms,
-                                   "joined_periods": round(await rig.until_alike(100.0), 1)}
+        figures: dict[str, Any] = {
+            "members": members,
+            "period_ms": period_ms,
+            "joined_periods": round(await rig.until_alike(100.0), 1),
+        }
         pids = [place.process.pid for place in rig.up() if place.process is not None]
         before, at = [_process(pid) for pid in pids], time.monotonic()
         await asyncio.sleep(20 * period_ms / 1000)
         spent = time.monotonic() - at
         after = [_process(pid) for pid in pids]
         figures["memory_mb"] = round(max(memory for memory, _ in after), 1)
-        figures["cpu_ms_a_period"] = round(mean(
-            (b[1] - a[1]) * 1000 / (spent * 1000 / period_ms) for a, b in zip(before, after, strict=True)), 2)
+        figures["cpu_ms_a_period"] = round(
+            mean((b[1] - a[1]) * 1000 / (spent * 1000 / period_ms) for a, b in zip(before, after, strict=True)), 2
+        )
         crash, back = (([Fault(0.0, do, (names[-1],))]) for do in ("kill", "start"))
         for what, script in (("partition_healed", half), ("stop_over", stop), ("crash", crash), ("back", back)):
             await rig.play(script)
@@ -196,39 +207,55 @@
 async def messy(members: int, minutes: float, period_ms: float) -> dict[str, Any]:
     """Real processes under a fifth of all datagrams lost, others late and doubled, for minutes."""
     names, periods = _names(members), minutes * 60_000 / period_ms
-    script = [Fault(0.0, do, tuple(names), tuple(names), periods, size)
-              for do, size in (("lose", 0.2), ("reorder", 0.3), ("double", 0.3))]
+    script = [
+        Fault(0.0, do, tuple(names), tuple(names), periods, size)
+        for do, size in (("lose", 0.2), ("reorder", 0.3), ("double", 0.3))
+    ]
     async with FleetRig(names, script, period_ms=period_ms) as rig:
         await rig.until_alike(100.0)
         await rig.play()
         took = await rig.until_alike(100.0)
         rig.check()
         deaths = sum(row["state"] == "dead" for rows in rig.audits() for row in rows)
-        return {"members": members, "minutes": minutes, "alike_again_periods": round(took, 1),
-                "changes_audited": sum(map(len, rig.audits())), "told_dead": deaths}
+        return {
+            "members": members,
+            "minutes": minutes,
+            "alike_again_periods": round(took, 1),
+            "changes_audited": sum(map(len, rig.audits())),
+            "told_dead": deaths,
+        }
 
 
 SHORT = ("a crash", "half the fleet at once", "a partition in two", "several stopped at once", "a link that flaps")
 
 
-async def view(members: int, seeds: int, hours: float, sizes: Sequence[int], processes: int, whole: bool,
-               minutes: float = 0.0) -> Report:
+async def view(
+    members: int, seeds: int, hours: float, sizes: Sequence[int], processes: int, whole: bool, minutes: float = 0.0
+) -> Report:
     """All of it. members: real processes; hours: of each way in the count of wrong deaths, for each of 32 members;
     whole: all hard cases at the aim's size, not some; minutes: of loss, reorder and doubles between real processes.
     """
     report = Report("view", {"members": members, "seeds": seeds, "hours": hours, "sizes": list(sizes), "whole": whole})
     chunk = max(1, -(-seeds // (4 * processes)))
     with ProcessPoolExecutor(processes) as pool:
-        slow = [pool.submit(case_figures, (case, AIM_MEMBERS, 1)) for case in (CASES if whole else SHORT)] \
-            if AIM_MEMBERS in sizes else []
+        slow = (
+            [pool.submit(case_figures, (case, AIM_MEMBERS, 1)) for case in (CASES if whole else SHORT)]
+            if AIM_MEMBERS in sizes
+            else []
+        )
         heals = [pool.submit(heal_figures, (size, 3)) for size in sizes]
         plain = [pool.submit(size_figures, (size, 2)) for size in sizes]
         plays = max(DEATH_PLAYS, ceil(hours / DEATH_HOURS))
         deaths = [pool.submit(wrong_deaths, (way, 32, hours / plays, seed)) for way in WAYS for seed in range(plays)]
         runs = [pool.submit(seeds_figures, (first, min(chunk, seeds - first), 8)) for first in range(0, seeds, chunk)]
         faults = [pool.submit(planted_figures, fault) for fault in PLANTED]
-        colds = [pool.submit(cold_figures, (case, live, tells, seed)) for case in ("join", "die")
-                 for tells in (False, True) for live in (False, True) for seed in (1, 2, 3)]
+        colds = [
+            pool.submit(cold_figures, (case, live, tells, seed))
+            for case in ("join", "die")
+            for tells in (False, True)
+            for live in (False, True)
+            for seed in (1, 2, 3)
+        ]
         report.figures["real"] = await real(members, 250.0)
         if minutes:
             report.figures["real, loss over minutes"] = await messy(members, minutes, 250.0)
@@ -246,12 +273,18 @@
     for one, heal in zip(plain, heals, strict=True):
         crash = spread(one["crash"])
         rows[str(one["members"])] = {
-            "crash_known_periods": {key: crash[key] for key in ("p50", "p99", "worst")}, "heal_periods": heal["took"],
-            "datagrams_a_period": round(one["datagrams"], 2), "bytes_a_period": round(one["bytes"]),
-            "cpu_us_a_period": round(one["cpu_us"])}
+            "crash_known_periods": {key: crash[key] for key in ("p50", "p99", "worst")},
+            "heal_periods": heal["took"],
+            "datagrams_a_period": round(one["datagrams"], 2),
+            "bytes_a_period": round(one["bytes"]),
+            "cpu_us_a_period": round(one["cpu_us"]),
+        }
         report.figures[f"_crash, {one['members']} members_periods"] = one["crash"]
-        report.bound(f"{one['members']} members: from heal to equal views, periods",
-                     float("inf") if heal["took"] is None else heal["took"], AIM_PERIODS + 0.5)
+        report.bound(
+            f"{one['members']} members: from heal to equal views, periods",
+            float("inf") if heal["took"] is None else heal["took"],
+            AIM_PERIODS + 0.5,
+        )
     report.figures["sizes"] = rows
     first, last = plain[0], plain[-1]
     report.bound("bytes a member a period, largest fleet over the smallest", last["bytes"] / first["bytes"], 3.0)
@@ -261,19 +294,31 @@
     if cases:
         report.figures[f"cases_{AIM_MEMBERS}_periods"] = {one["case"]: one["took"] for one in cases}
         worst = max(cases, key=lambda one: float("inf") if one["took"] is None else one["took"])
-        report.aim(f"{AIM_MEMBERS} members: last fault to equal views, worst: {worst['case']}",
-                   float("inf") if worst["took"] is None else worst["took"], AIM_PERIODS + 0.5)
-        report.bound("hard cases with a violation, or never alike",
-                     sum(bool(one["found"]) or one["took"] is None for one in cases), 1)
+        report.aim(
+            f"{AIM_MEMBERS} members: last fault to equal views, worst: {worst['case']}",
+            float("inf") if worst["took"] is None else worst["took"],
+            AIM_PERIODS + 0.5,
+        )
+        report.bound(
+            "hard cases with a violation, or never alike",
+            sum(bool(one["found"]) or one["took"] is None for one in cases),
+            1,
+        )
 
 
 def _deaths(report: Report, deaths: list[dict[str, Any]]) -> None:
-    by = {way: {key: sum(one[key] for one in deaths if one["way"] == way) for key in ("hours", "well", "stalled")}
-          for way in WAYS}
+    by = {
+        way: {key: sum(one[key] for one in deaths if one["way"] == way) for key in ("hours", "well", "stalled")}
+        for way in WAYS
+    }
     report.figures["wrong_deaths_per_member_hour"] = {
-        way: {"of_well_members": round(one["well"] / one["hours"], 4),
-              "of_stalled_members": round(one["stalled"] / one["hours"], 4),
-              "counted": [one["well"], one["stalled"]]} for way, one in by.items()}
+        way: {
+            "of_well_members": round(one["well"] / one["hours"], 4),
+            "of_stalled_members": round(one["stalled"] / one["hours"], 4),
+            "counted": [one["well"], one["stalled"]],
+        }
+        for way, one in by.items()
+    }
     mine, plain = by["view"]["well"], by["without local health"]["well"]
     what = f"wrong deaths of well members, view over SWIM without local health ({mine} to {plain})"
     # A short play counts too few to tell: then it is an aim. None at all counts as one.
@@ -283,8 +328,12 @@
 def _seeds(report: Report, runs: list[dict[str, Any]]) -> None:
     wrong = [text for one in runs for text in one["wrong"]]
     took = [periods for one in runs for periods in one["took"]]
-    report.figures["seeds"] = {"played": sum(one["seeds"] for one in runs), "wrong": wrong[:5],
-                               "periods_to_equal_views": spread(took), "p95": percentile(took, 0.95)}
+    report.figures["seeds"] = {
+        "played": sum(one["seeds"] for one in runs),
+        "wrong": wrong[:5],
+        "periods_to_equal_views": spread(took),
+        "p95": percentile(took, 0.95),
+    }
     report.bound("seeds with a violation, or with a living member that stays dead", len(wrong), 1)
 
 
@@ -296,16 +345,21 @@
 def _colds(report: Report, colds: list[dict[str, Any]]) -> None:
     rows: dict[str, Any] = {}
     for one in colds:
-        key = f"{one['case']}, servers {'tell their rate' if one['tells'] else 'tell nothing'}, " \
-              f"{'live count' if one['live'] else 'as before'}"
+        key = (
+            f"{one['case']}, servers {'tell their rate' if one['tells'] else 'tell nothing'}, "
+            f"{'live count' if one['live'] else 'as before'}"
+        )
         row = rows.setdefault(key, {"worst_of_budget": [], "of_its_capacity": [], "in_time": []})
         for name, values in row.items():
             values.append(one[name])
     report.figures["cold_server"] = rows
     live = [one for one in colds if one["live"]]
-    report.bound("cold server, live count: worst window, part of its budget",
-                 max(one["worst_of_budget"] for one in live), 1.0)
+    report.bound(
+        "cold server, live count: worst window, part of its budget", max(one["worst_of_budget"] for one in live), 1.0
+    )
     for case in ("join", "die"):
-        now, before = (mean(one["in_time"] for one in colds if one["case"] == case and one["live"] is flag)
-                       for flag in (True, False))
+        now, before = (
+            mean(one["in_time"] for one in colds if one["case"] == case and one["live"] is flag)
+            for flag in (True, False)
+        )
         report.bound(f"{case}: calls in time lost beside the version before", before - now, 0.01)
--- a/sageweir/lifecycle.py
+++ b/sageweir/lifecycle.py
@@ -125,4 +125,5 @@
         # upgrade they go on after this process, so it must not cut them: it stays as long as it may.
         age = now - self.since
         return age >= self.limits.stop_open_ms and (
-            not standing or (age >= self.limits.stop_standing_ms and not self.shared))
+            not standing or (age >= self.limits.stop_standing_ms and not self.shared)
+        )
--- a/sageweir/net/admin.py
+++ b/sageweir/net/admin.py
@@ -84,8 +84,9 @@
 class AdminSide:
     """All operators' connections; their number is set aside beside callers'."""
 
-    def __init__(self, clock: Clock, limits: Limits, commands: Mapping[str, Command],
-                 calls: Mapping[str, Call] | None = None) -> None:
+    def __init__(
+        self, clock: Clock, limits: Limits, commands: Mapping[str, Command], calls: Mapping[str, Call] | None = None
+    ) -> None:
         self.clock, self.limits, self.commands, self.calls = clock, limits, commands, calls or {}
         self.connections: dict[AdminConnection, None] = {}  # oldest first
         self._server: asyncio.Server | None = None
@@ -96,8 +97,9 @@
         family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
         listener = socket.create_server((address.host, address.port), family=family)
         # A small backlog: the loop accepts as many in one turn, and no more descriptors are set aside.
-        self._server = await loop.create_server(lambda: AdminConnection(self), sock=listener,
-                                                backlog=self.limits.admin_connections // 2)
+        self._server = await loop.create_server(
+            lambda: AdminConnection(self), sock=listener, backlog=self.limits.admin_connections // 2
+        )
         listener.listen(self.limits.backlog)
         return int(listener.getsockname()[1])
 
@@ -119,8 +121,10 @@
         command = self.commands.get(word)
         first, *words = word.split() or [""]
         if command is None and (call := self.calls.get(first)) is not None:
+
             def command() -> str:
                 return granted(call(words))
+
         if command is None:
             known = ", ".join((*self.commands, *self.calls))
             return f"FAILURE unknown call {word!r:.40}, known are {known}" if word else "FAILURE an empty call"
--- a/sageweir/net/callapi.py
+++ b/sageweir/net/callapi.py
@@ -13,14 +13,29 @@
 from sageweir.net.jsonlines import ID
 
 TYPES = {
-    Kind.SET_UP: "setup", Kind.PROGRESS: "progress", Kind.ANSWER: "answer", Kind.REFUSAL: "refusal",
-    Kind.FAILURE: "failure", Kind.RELEASE: "release", Kind.HEARD: "released", Kind.TEST: "test",
-    Kind.TESTED: "tested", Kind.STATUS: "status", Kind.ERROR: "error",
+    Kind.SET_UP: "setup",
+    Kind.PROGRESS: "progress",
+    Kind.ANSWER: "answer",
+    Kind.REFUSAL: "refusal",
+    Kind.FAILURE: "failure",
+    Kind.RELEASE: "release",
+    Kind.HEARD: "released",
+    Kind.TEST: "test",
+    Kind.TESTED: "tested",
+    Kind.STATUS: "status",
+    Kind.ERROR: "error",
 }
 KINDS = {word: kind for kind, word in TYPES.items()}
 # The API's name, the message's field, and the type that the API wants.
-FIELDS = (("class", "class", str), ("deadline_ms", "left", float), ("number", "key", str), ("tenant", "tenant", str),
-          ("wait_ms", "wait", float), ("note", "note", str), ("reason", "reason", str))
+FIELDS = (
+    ("class", "class", str),
+    ("deadline_ms", "left", float),
+    ("number", "key", str),
+    ("tenant", "tenant", str),
+    ("wait_ms", "wait", float),
+    ("note", "note", str),
+    ("reason", "reason", str),
+)
 DEFAULT_CAUSES = {Kind.REFUSAL: Cause.FULL, Kind.FAILURE: Cause.ERROR, Kind.RELEASE: Cause.NORMAL}
 WITH_CAUSE = (Kind.REFUSAL, Kind.FAILURE, Kind.RELEASE, Kind.TESTED)
 
@@ -54,7 +69,8 @@
 
 def _pairs(raw: Any, what: str) -> str:
     if not isinstance(raw, dict) or not all(
-            isinstance(v, (int, float)) and not isinstance(v, bool) for v in raw.values()):
+        isinstance(v, (int, float)) and not isinstance(v, bool) for v in raw.values()
+    ):
         raise ValueError(f"'{what}' must be an object of numbers")
     return ";".join(f"{name}:{value}" for name, value in raw.items())
 
@@ -98,8 +114,11 @@
     word, call = raw.get("type"), raw.get("call", "")
     kind = KINDS.get(word) if isinstance(word, str) else None
     set_up = kind is Kind.SET_UP
-    if not isinstance(call, str) or (call and not ID.match(call)) or (
-            not call and kind not in (Kind.STATUS, Kind.ERROR)):
+    if (
+        not isinstance(call, str)
+        or (call and not ID.match(call))
+        or (not call and kind not in (Kind.STATUS, Kind.ERROR))
+    ):
         return Fault(f"'call' must be 16 hex digits, got {call!r:.40}")
     if kind is None:
         return Fault(f"unknown type {word!r:.40}", call)
--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -43,9 +43,16 @@
         figure = extras.get(name, least)
         if not (least <= figure <= most and figure.is_integer()):
             return f"'extras': '{name}' must be a whole number from {least:.0f} to {most:.0f}, got {figure!r}"
-    return Request(message.call, service_class, left_ms, message.fields.get("key", ""),
-                   int(extras.get("dest", -1.0)), extras.get("again", 0.0) == 1.0, message.description,
-                   message.fields.get("tenant", ""))
+    return Request(
+        message.call,
+        service_class,
+        left_ms,
+        message.fields.get("key", ""),
+        int(extras.get("dest", -1.0)),
+        extras.get("again", 0.0) == 1.0,
+        message.description,
+        message.fields.get("tenant", ""),
+    )
 
 
 class CallerConnection(Connection):
@@ -179,8 +186,12 @@
         # Guards against callers that connect and say nothing, or half of something, and keep descriptors.
         limits = self.limits
         if not self.spoke and now - self.opened_at >= limits.first_word_ms:
-            log.info("%s: closed: nothing whole was said in %.0f ms%s", self.peer, now - self.opened_at,
-                     ", but a part of it" if self.begun_at is not None else "")
+            log.info(
+                "%s: closed: nothing whole was said in %.0f ms%s",
+                self.peer,
+                now - self.opened_at,
+                ", but a part of it" if self.begun_at is not None else "",
+            )
             self.finish("nothing was said")
         elif self.begun_at is not None and now - self.begun_at >= limits.caller_half_ms:
             log.warning("%s: closed: a message that does not end", self.peer)
@@ -301,8 +312,9 @@
         listener = socket.create_server((host, port), family=family) if held is None else inherited(held)
         # Guards against a flood of connections that uses up the descriptors before the table's bound can act:
         # the loop accepts as many in one turn as it is told of, and only later turns close what is too much.
-        server = await loop.create_server(lambda: CallerConnection(self, wire()), sock=listener,
-                                          backlog=self.limits.accept_at_once)
+        server = await loop.create_server(
+            lambda: CallerConnection(self, wire()), sock=listener, backlog=self.limits.accept_at_once
+        )
         listener.listen(self.limits.backlog)
         self.listeners.append(server)
         return int(listener.getsockname()[1])
--- a/sageweir/net/connection.py
+++ b/sageweir/net/connection.py
@@ -127,8 +127,7 @@
 
     @property
     def up(self) -> bool:
-        return self.transport is not None and not self.transport.is_closing() and self.wire.ready() \
-            and not self.parting
+        return self.transport is not None and not self.transport.is_closing() and self.wire.ready() and not self.parting
 
     def unsent(self) -> int:
         """Bytes that wait here for the peer to read."""
--- a/sageweir/net/feed.py
+++ b/sageweir/net/feed.py
@@ -34,7 +34,8 @@
         feed = self.feed
         self.transport.write(
             f"GET /v1/events HTTP/1.1\r\nHost: {self.address}\r\nAccept: text/event-stream\r\n"
-            f"Last-Event-ID: {feed.number}\r\nCache-Control: no-cache\r\n\r\n".encode())
+            f"Last-Event-ID: {feed.number}\r\nCache-Control: no-cache\r\n\r\n".encode()
+        )
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._view
@@ -79,8 +80,9 @@
 class FeedClient:
     """Keeps one connection to the feed, and applies each event once and in order."""
 
-    def __init__(self, clock: Clock, limits: Limits, address: Address | None, number: int,
-                 apply: Callable[[ListEvent], None]) -> None:
+    def __init__(
+        self, clock: Clock, limits: Limits, address: Address | None, number: int, apply: Callable[[ListEvent], None]
+    ) -> None:
         self.clock, self.limits, self.address, self.number, self.apply = clock, limits, address, number, apply
         self.connection: FeedConnection | None = None
         self._task: asyncio.Task[None] | None = None
@@ -136,8 +138,10 @@
     async def _connect(self, address: Address) -> None:
         connection, task = FeedConnection(self, address), asyncio.current_task()
         try:
-            await asyncio.wait_for(asyncio.get_running_loop().create_connection(
-                lambda: connection, address.host, address.port), self.limits.dial_ms / 1000)
+            await asyncio.wait_for(
+                asyncio.get_running_loop().create_connection(lambda: connection, address.host, address.port),
+                self.limits.dial_ms / 1000,
+            )
             if self._task is task:
                 self.connection = connection
             elif connection.transport is not None:  # the feed has moved meanwhile
@@ -152,8 +156,7 @@
         finally:
             if self._task is task:
                 self._task = None
-        if self.connection is connection and connection.transport is not None \
-                and connection.transport.is_closing():
+        if self.connection is connection and connection.transport is not None and connection.transport.is_closing():
             self.lost(connection)
 
     def lost(self, connection: FeedConnection) -> None:
@@ -167,8 +170,11 @@
     def _look(self) -> None:
         # Guards against a feed whose machine vanished: the connection stays open and says nothing.
         connection = self.connection
-        if connection is not None and connection.transport is not None \
-                and self.clock.now() - connection.heard_at > self.limits.feed_silence_ms:
+        if (
+            connection is not None
+            and connection.transport is not None
+            and self.clock.now() - connection.heard_at > self.limits.feed_silence_ms
+        ):
             log.warning("feed: silent, connecting anew")
             connection.transport.abort()
         self._watch = self.clock.after(self.limits.feed_silence_ms / 5, self._look)
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -138,8 +138,17 @@
 class Handover:
     """This process's way to its forerunner and to its successor."""
 
-    def __init__(self, clock: Clock, limits: Limits, folder: Path, name: str, settings: str, exchange: Exchange,
-                 callers: CallerSide, wire: Callable[[], Wire]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limits: Limits,
+        folder: Path,
+        name: str,
+        settings: str,
+        exchange: Exchange,
+        callers: CallerSide,
+        wire: Callable[[], Wire],
+    ) -> None:
         """wire: what connections that are passed on speak."""
         self.clock, self.limits, self.exchange, self.callers, self.wire = clock, limits, exchange, callers, wire
         self.path = folder / PLACE
@@ -369,13 +378,22 @@
     def _pass(self, connection: CallerConnection, channel: Channel) -> None:
         calls = self.exchange.calls
         owed = tuple((call, calls[call].request.service_class) for call in connection.open if call in calls)
-        word = Passed((connection.wire.held() or b"").decode("latin-1"), connection.spoke, connection.served,
-                      connection.faults, connection.opened_at, connection.heard_at, connection.begun_at,
-                      tuple(connection.standing), owed)
+        word = Passed(
+            (connection.wire.held() or b"").decode("latin-1"),
+            connection.spoke,
+            connection.served,
+            connection.faults,
+            connection.opened_at,
+            connection.heard_at,
+            connection.begun_at,
+            tuple(connection.standing),
+            owed,
+        )
 
         def relay(message: Message) -> bool:
-            return channel.say(Told(message.call, message.kind.value, message.cause, message.fields,
-                                    message.description))
+            return channel.say(
+                Told(message.call, message.kind.value, message.cause, message.fields, message.description)
+            )
 
         channel.say(word, connection.move(relay))
 
--- a/sageweir/net/http.py
+++ b/sageweir/net/http.py
@@ -55,7 +55,7 @@
         if end < 0:
             return None
         head = parse_head(bytes(self.rest[:end]))
-        del self.rest[:end + 4]
+        del self.rest[: end + 4]
         return head
 
 
@@ -70,9 +70,9 @@
         out = bytearray()
         while self._rest and not self.over:
             if self._left > 2:
-                part = bytes(self._rest[:self._left - 2])
+                part = bytes(self._rest[: self._left - 2])
                 out += part
-                del self._rest[:len(part)]
+                del self._rest[: len(part)]
                 self._left -= len(part)
                 if self._left > 2:
                     break
@@ -92,7 +92,7 @@
                 raise HttpError("bad chunk head") from None
             if size < 0:
                 raise HttpError("bad chunk head")
-            del self._rest[:end + 2]
+            del self._rest[: end + 2]
             self.over = size == 0
             self._left = size + 2
         return bytes(out)
@@ -123,7 +123,7 @@
             if end < 0:
                 return
             line = self._rest[:end].rstrip(b"\r").decode("utf-8", "replace")
-            del self._rest[:end + 1]
+            del self._rest[: end + 1]
             if not line:
                 if self._data:
                     yield ServerEvent(self._id, self._name or "message", "\n".join(self._data))
--- a/sageweir/net/jsonlines.py
+++ b/sageweir/net/jsonlines.py
@@ -11,8 +11,14 @@
 from sageweir.messages import Fault, Kind, Message
 
 WORDS = {
-    "open": Kind.SET_UP, "trying": Kind.PROGRESS, "ready": Kind.ANSWER, "close": Kind.RELEASE,
-    "closed": Kind.HEARD, "probe": Kind.TEST, "probed": Kind.TESTED, "status": Kind.STATUS,
+    "open": Kind.SET_UP,
+    "trying": Kind.PROGRESS,
+    "ready": Kind.ANSWER,
+    "close": Kind.RELEASE,
+    "closed": Kind.HEARD,
+    "probe": Kind.TEST,
+    "probed": Kind.TESTED,
+    "status": Kind.STATUS,
 }
 NAMES = {kind: word for word, kind in WORDS.items()} | {Kind.REFUSAL: "close", Kind.FAILURE: "close"}
 ID = re.compile(r"[0-9a-f]{16}\Z")
@@ -47,10 +53,16 @@
     if text is not None and not isinstance(text, str):
         return Fault(f"'text' must be a string, got {text!r:.40}", call, set_up)
     if not isinstance(attrs, dict) or not all(
-            isinstance(v, (str, int, float)) and not isinstance(v, bool) for v in attrs.values()):
+        isinstance(v, (str, int, float)) and not isinstance(v, bool) for v in attrs.values()
+    ):
         return Fault("'attrs' must be an object of strings and numbers", call, set_up)
-    return Message(kind, call, {k: v if isinstance(v, str) else f"{v:g}" if isinstance(v, float) else str(v)
-                                for k, v in attrs.items()}, cause, text)
+    return Message(
+        kind,
+        call,
+        {k: v if isinstance(v, str) else f"{v:g}" if isinstance(v, float) else str(v) for k, v in attrs.items()},
+        cause,
+        text,
+    )
 
 
 class JsonLines:
@@ -71,17 +83,17 @@
             if end < 0:
                 break
             line = bytes(self._rest[:end])
-            del self._rest[:end + 1]
+            del self._rest[: end + 1]
             if self._skipping:  # the tail of a line that was too long, told already
                 self._skipping = False
             elif len(line) + 1 > self._max:
-                yield _fault(f"longer than {self._max} bytes", line[:self._max])
+                yield _fault(f"longer than {self._max} bytes", line[: self._max])
             elif line.strip():
                 yield decode(line)
         if len(self._rest) >= self._max:
             # Guards against a line without end: only its head is kept, and it is told of once.
             if not self._skipping:
-                yield _fault(f"longer than {self._max} bytes", bytes(self._rest[:self._max]))
+                yield _fault(f"longer than {self._max} bytes", bytes(self._rest[: self._max]))
             self._skipping = True
             self._rest.clear()
 
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -133,7 +133,7 @@
         """Send a set-up."""
         if len(self.attempts) >= self.limits.kept_attempts:
             over = [name for name, kept in self.attempts.items() if kept.state is State.OVER]
-            for name in over[:len(over) // 2 + 1]:
+            for name in over[: len(over) // 2 + 1]:
                 del self.attempts[name]
         request = attempt.request
         self.attempts[request.call] = attempt
@@ -196,8 +196,7 @@
     async def _dial(self) -> None:
         connection = self.coming = ServerConnection(self, self.side.wire(self.address))
         try:
-            await asyncio.get_running_loop().create_connection(
-                lambda: connection, self.address.host, self.address.port)
+            await asyncio.get_running_loop().create_connection(lambda: connection, self.address.host, self.address.port)
         except OSError as error:
             if self.coming is connection:
                 self._dial_failed(isinstance(error, ConnectionRefusedError), str(error))
@@ -345,8 +344,7 @@
                 if timed_out and not connection.suspect and connection.heard_at <= attempt.sent_at:
                     # Guards against a vanished machine, and a connection that only looks open: both stay
                     # silent for good. Nothing heard while an attempt lasted is enough to look elsewhere.
-                    log.info("%s: silent for %.0f ms, a new connection is dialled", self.name,
-                             now - attempt.sent_at)
+                    log.info("%s: silent for %.0f ms, a new connection is dialled", self.name, now - attempt.sent_at)
                     connection.suspect = True
                     self.dial()
                 if connection.suspect:
@@ -451,8 +449,7 @@
 class ServerSide:
     """Links to all clearing servers of the list."""
 
-    def __init__(self, clock: Clock, limits: Limits, exchange: Exchange,
-                 wire: Callable[[Address], Wire]) -> None:
+    def __init__(self, clock: Clock, limits: Limits, exchange: Exchange, wire: Callable[[Address], Wire]) -> None:
         self.clock, self.limits, self.exchange, self.wire = clock, limits, exchange, wire
         self.links: dict[str, ServerLink] = {}
         self.leaving: set[ServerLink] = set()  # gone from the list, with calls that may still stand
--- a/sageweir/net/websocket.py
+++ b/sageweir/net/websocket.py
@@ -45,7 +45,7 @@
 def mask(data: bytes, key: bytes) -> bytes:
     """Mask or unmask: the same both ways."""
     whole = key * (len(data) // 4 + 1)
-    return (int.from_bytes(data, "big") ^ int.from_bytes(whole[:len(data)], "big")).to_bytes(len(data), "big")
+    return (int.from_bytes(data, "big") ^ int.from_bytes(whole[: len(data)], "big")).to_bytes(len(data), "big")
 
 
 def frame(opcode: int, payload: bytes, key: bytes | None = None, fin: bool = True) -> bytes:
@@ -123,10 +123,10 @@
         key_end = at + (4 if masked else 0)
         if len(rest) < key_end + size:
             return None
-        payload = bytes(rest[key_end:key_end + size])
+        payload = bytes(rest[key_end : key_end + size])
         if masked:
             payload = mask(payload, bytes(rest[at:key_end]))
-        del rest[:key_end + size]
+        del rest[: key_end + size]
         return fin, opcode, payload
 
 
@@ -135,8 +135,14 @@
 
     says_errors = True
 
-    def __init__(self, max_bytes: int, head_bytes: int, path: str, client_host: str = "",
-                 random_bytes: Callable[[int], bytes] = os.urandom) -> None:
+    def __init__(
+        self,
+        max_bytes: int,
+        head_bytes: int,
+        path: str,
+        client_host: str = "",
+        random_bytes: Callable[[int], bytes] = os.urandom,
+    ) -> None:
         """The client's role where client_host is given, else the server's."""
         self._client, self._host, self._path = bool(client_host), client_host, path
         self._random = random_bytes
@@ -151,9 +157,11 @@
     def greeting(self) -> bytes:
         if not self._client:
             return b""
-        return (f"GET {self._path} HTTP/1.1\r\nHost: {self._host}\r\n"
-                f"Upgrade: websocket\r\nConnection: Upgrade\r\n"
-                f"Sec-WebSocket-Key: {self._key}\r\nSec-WebSocket-Version: 13\r\n\r\n").encode()
+        return (
+            f"GET {self._path} HTTP/1.1\r\nHost: {self._host}\r\n"
+            f"Upgrade: websocket\r\nConnection: Upgrade\r\n"
+            f"Sec-WebSocket-Key: {self._key}\r\nSec-WebSocket-Version: 13\r\n\r\n"
+        ).encode()
 
     def feed(self, data: bytes | memoryview) -> Iterator[Message | Fault]:
         if self.phase is Phase.HANDSHAKE:
@@ -267,8 +275,10 @@
         else:
             self._check_request(head, upgrade)
             accept = accept_for(head.fields["sec-websocket-key"])
-            self._owed += ("HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n"
-                           f"Connection: Upgrade\r\nSec-WebSocket-Accept: {accept}\r\n\r\n").encode()
+            self._owed += (
+                "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n"
+                f"Connection: Upgrade\r\nSec-WebSocket-Accept: {accept}\r\n\r\n"
+            ).encode()
         self.phase = Phase.OPEN
 
     def _check_request(self, head: Head, upgrade: bool) -> None:
--- a/sageweir/pcap.py
+++ b/sageweir/pcap.py
@@ -62,7 +62,7 @@
         at += 16
         if size > MAX_PACKET or at + size > len(data):
             raise PcapError(f"packet of {size} bytes at byte {at} is cut off or too large")
-        packets.append(Packet(seconds * 1e3 + part / unit, data[at:at + size]))
+        packets.append(Packet(seconds * 1e3 + part / unit, data[at : at + size]))
         at += size
     return link, packets
 
@@ -81,9 +81,9 @@
     """Flow, sequence number, flags and payload of a TCP segment over IPv4; None for what is none."""
     if link == ETHERNET:
         at = 12
-        while data[at:at + 2] in (b"\x81\x00", b"\x88\xa8"):  # VLAN tags
+        while data[at : at + 2] in (b"\x81\x00", b"\x88\xa8"):  # VLAN tags
             at += 4
-        kind, data = data[at:at + 2], data[at + 2:]
+        kind, data = data[at : at + 2], data[at + 2 :]
     elif link == LINUX_COOKED:
         kind, data = data[14:16], data[16:]
     elif link == RAW:
@@ -97,7 +97,7 @@
     if fragment & 0x3FFF or len(tcp) < 20:
         return None
     source, target, sequence = struct.unpack_from("!HHI", tcp)
-    return (data[12:16], source, data[16:20], target), sequence, tcp[13], tcp[(tcp[12] >> 4) * 4:]
+    return (data[12:16], source, data[16:20], target), sequence, tcp[13], tcp[(tcp[12] >> 4) * 4 :]
 
 
 @dataclass(slots=True)
@@ -144,7 +144,7 @@
 
 
 def _checksum(data: bytes) -> int:
-    total: int = sum(struct.unpack(f"!{len(data) // 2}H", data[:len(data) // 2 * 2]))
+    total: int = sum(struct.unpack(f"!{len(data) // 2}H", data[: len(data) // 2 * 2]))
     total += data[-1] << 8 if len(data) % 2 else 0
     while total >> 16:
         total = (total & 0xFFFF) + (total >> 16)
@@ -171,14 +171,19 @@
             next_byte[item.flow] = 1
         payload = wire.encode(item.message)
         for start in range(0, len(payload), 1400):
-            part = payload[start:start + 1400]
+            part = payload[start : start + 1400]
             packets.append(Packet(item.at_ms, _packet(item.flow, next_byte[item.flow], PUSH_ACK, part)))
             next_byte[item.flow] = (next_byte[item.flow] + len(part)) % SEQUENCES
     return write_packets(packets)
 
 
-def replay(recorded: Iterable[Recorded], exchange: Exchange, clock: SetClock, caller: Caller,
-           refused: Callable[[Recorded], None] = lambda _: None) -> int:
+def replay(
+    recorded: Iterable[Recorded],
+    exchange: Exchange,
+    clock: SetClock,
+    caller: Caller,
+    refused: Callable[[Recorded], None] = lambda _: None,
+) -> int:
     """Put recorded requests and releases to the core at their times; how many requests it took."""
     taken, first, start = 0, None, clock.now()
     for item in recorded:
--- a/sageweir/recovery/calls.py
+++ b/sageweir/recovery/calls.py
@@ -230,6 +230,7 @@
 
 # After a start
 
+
 class Say(Enum):
     """What becomes of a set-up that comes with an id."""
 
@@ -291,8 +292,9 @@
     def questions(self) -> dict[str, list[str]]:
         """Which servers are to be asked for which calls: those that stood, and those that were out at them."""
         found: dict[str, list[str]] = {}
-        for call in sorted((self.open | {call for call in self.out if self.book.calls[call].server})
-                           - self.stands.keys()):
+        for call in sorted(
+            (self.open | {call for call in self.out if self.book.calls[call].server}) - self.stands.keys()
+        ):
             found.setdefault(self.book.calls[call].server, []).append(call)
         return found
 
--- a/sageweir/recovery/stages.py
+++ b/sageweir/recovery/stages.py
@@ -56,9 +56,13 @@
 ORDER = tuple(Stage)
 RAMPS = 6  # ramps, after which servers that are still cold hold up nobody
 FALLBACKS = {
-    Stage.DISK: "nothing on the disk is believed", Stage.VIEW: "it serves alone, with its part of the whole fleet",
-    Stage.TERMS: "it holds no duty and votes for nobody yet", Stage.LIST: "refusals with `wait` until a list comes",
-    Stage.CALLS: "what is in doubt is released", Stage.RAMP: "cold servers are left to the module's own budgets"}
+    Stage.DISK: "nothing on the disk is believed",
+    Stage.VIEW: "it serves alone, with its part of the whole fleet",
+    Stage.TERMS: "it holds no duty and votes for nobody yet",
+    Stage.LIST: "refusals with `wait` until a list comes",
+    Stage.CALLS: "what is in doubt is released",
+    Stage.RAMP: "cold servers are left to the module's own budgets",
+}
 
 
 @dataclass(slots=True)
@@ -94,10 +98,13 @@
         """Why the present stage is over, else nothing."""
         limits, spent = self.limits, self.now - self.began
         done, limit = {
-            Stage.DISK: (facts.disk_judged, limits.disk_ms), Stage.VIEW: (facts.view_settled, limits.view_ms),
-            Stage.TERMS: (facts.numbers_sure, limits.terms_ms), Stage.LIST: (facts.listed > 0, limits.list_ms),
+            Stage.DISK: (facts.disk_judged, limits.disk_ms),
+            Stage.VIEW: (facts.view_settled, limits.view_ms),
+            Stage.TERMS: (facts.numbers_sure, limits.terms_ms),
+            Stage.LIST: (facts.listed > 0, limits.list_ms),
             Stage.CALLS: (facts.in_doubt == 0, limits.calls_ms),
-            Stage.RAMP: (self.open_part(facts) >= 1.0, RAMPS * limits.ramp_ms)}[self.stage]
+            Stage.RAMP: (self.open_part(facts) >= 1.0, RAMPS * limits.ramp_ms),
+        }[self.stage]
         if done:
             return "done"
         return f"after {limit:.0f} ms: {FALLBACKS[self.stage]}" if spent >= limit else ""
--- a/sageweir/recovery/trust.py
+++ b/sageweir/recovery/trust.py
@@ -109,8 +109,9 @@
     return ""
 
 
-def judge(item: str, disk: Disk | None, now_unix_ms: float, answers: Sequence[Answer], there: int,
-          waited_ms: float) -> Judged | None:
+def judge(
+    item: str, disk: Disk | None, now_unix_ms: float, answers: Sequence[Answer], there: int, waited_ms: float
+) -> Judged | None:
     """What an item is, or None while it is to be waited for. there: how many could be asked; waited_ms: for them."""
     row = TABLE[item]
     if row.kind is Kind.NEVER:
--- a/sageweir/reload.py
+++ b/sageweir/reload.py
@@ -25,8 +25,15 @@
 class Reloader:
     """Carries a changed configuration into the running program; no call and no connection is dropped."""
 
-    def __init__(self, clock: Clock, config: Config, feed: Feed, load: Callable[[], Config],
-                 fixed: tuple[str, ...] = FIXED, taken: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        config: Config,
+        feed: Feed,
+        load: Callable[[], Config],
+        fixed: tuple[str, ...] = FIXED,
+        taken: Callable[[], None] = lambda: None,
+    ) -> None:
         """fixed: keys that take a restart; taken: called once a configuration has been put in place."""
         self.config, self._clock, self._feed, self._load = config, clock, feed, load
         self._fixed, self._taken = fixed, taken
@@ -45,8 +52,9 @@
         except ConfigError as error:
             # Guards against a file that is caught half written: it is read again, and the old one stays.
             retry = self._clock.now() < until
-            log.warning("configuration not taken, the old one stays: %s%s", error,
-                        "; it is read again" if retry else "")
+            log.warning(
+                "configuration not taken, the old one stays: %s%s", error, "; it is read again" if retry else ""
+            )
             if retry:
                 self._again = self._clock.after(self.config.limits.reload_retry_ms, lambda: self._try(until))
             return
--- a/sageweir/store/files.py
+++ b/sageweir/store/files.py
@@ -63,7 +63,7 @@
     def append(self, name: str, data: bytes) -> None:
         left = memoryview(data)
         while left:  # a write may take less than it was given
-            left = left[os.write(self._at(name), left):]
+            left = left[os.write(self._at(name), left) :]
 
     def _at(self, name: str) -> int:
         if name not in self._open:
--- a/sageweir/store/frames.py
+++ b/sageweir/store/frames.py
@@ -44,7 +44,7 @@
     """Raises Broken."""
     if len(data) < HEAD_BYTES:
         raise Broken(f"its head is cut after {len(data)} bytes")
-    body, check = data[:_HEAD.size], int.from_bytes(data[_HEAD.size:HEAD_BYTES], "big")
+    body, check = data[: _HEAD.size], int.from_bytes(data[_HEAD.size : HEAD_BYTES], "big")
     found = _HEAD.unpack(body)
     if zlib.crc32(body) != check or found[0] != magic:
         raise Broken("its head is spoilt, or of another form")
@@ -83,13 +83,13 @@
     while at < len(data):
         if len(data) - at < RECORD_BYTES:
             return Scan(records, at, chain, f"a record is cut at byte {at}")
-        length, check = _RECORD.unpack(view[at:at + RECORD_BYTES])
+        length, check = _RECORD.unpack(view[at : at + RECORD_BYTES])
         end = at + RECORD_BYTES + length
         if not 0 < length <= BODY_MAX:
             return Scan(records, at, chain, f"no record at byte {at}")
         if end > len(data):
             return Scan(records, at, chain, f"a record is cut at byte {at}")
-        body = bytes(view[at + RECORD_BYTES:end])
+        body = bytes(view[at + RECORD_BYTES : end])
         if _check(body, chain) != check:
             return Scan(records, at, chain, f"a record is spoilt at byte {at}")
         records.append(body)
@@ -109,7 +109,7 @@
 def decode_snapshot(data: bytes, owner: int) -> tuple[Head, bytes]:
     """Raises Broken."""
     head = decode_head(data, owner, SNAPSHOT)
-    state = data[HEAD_BYTES + 12:]
-    if data[HEAD_BYTES:HEAD_BYTES + 12] != len(state).to_bytes(8, "big") + _snapshot_check(head, state):
+    state = data[HEAD_BYTES + 12 :]
+    if data[HEAD_BYTES : HEAD_BYTES + 12] != len(state).to_bytes(8, "big") + _snapshot_check(head, state):
         raise Broken("its state is cut or spoilt")
     return head, state
--- a/sageweir/store/log.py
+++ b/sageweir/store/log.py
@@ -69,8 +69,7 @@
 class Log:
     """One directory's log. owner: whose it is (a number drawn once, or of the member's name)."""
 
-    def __init__(self, files: Files, owner: int, level: Level = Level.EACH,
-                 segment_bytes: int = SEGMENT_BYTES) -> None:
+    def __init__(self, files: Files, owner: int, level: Level = Level.EACH, segment_bytes: int = SEGMENT_BYTES) -> None:
         """Recover what is there, and go on after it. Raises OSError where the directory can't be read or written."""
         self.files, self.owner, self.level, self.segment_bytes = files, owner, level, segment_bytes
         self.distrusted = ""
@@ -154,7 +153,7 @@
                 changed = True
             elif name in believed and believed[name].end < len(self.files.read(name)):
                 data = self.files.read(name)
-                self.files.write(f"{name}.aside", data[believed[name].end:])
+                self.files.write(f"{name}.aside", data[believed[name].end :])
                 self.files.cut(name, believed[name].end)
                 self.files.sync(name)
                 changed = True
@@ -247,8 +246,12 @@
 
     def _distrust(self, error: OSError) -> Distrusted:
         self.distrusted = f"{error.strerror or error}"
-        log.error("the log is not trusted any more, it takes nothing: why=%s durable=%d taken=%d", self.distrusted,
-                  self.durable, self.last)
+        log.error(
+            "the log is not trusted any more, it takes nothing: why=%s durable=%d taken=%d",
+            self.distrusted,
+            self.durable,
+            self.last,
+        )
         return Distrusted(self.distrusted)
 
     def close(self) -> None:
--- a/sageweir/store/survey.py
+++ b/sageweir/store/survey.py
@@ -38,8 +38,13 @@
     rows: list[Row] = []
     chain, following = 0, 0
     for name, data in sorted(files.items()):
-        kind = "segment" if name.startswith("log-") and name[4:].isdigit() else \
-            "snapshot" if name.startswith("snapshot-") and name[9:].isdigit() else "other"
+        kind = (
+            "segment"
+            if name.startswith("log-") and name[4:].isdigit()
+            else "snapshot"
+            if name.startswith("snapshot-") and name[9:].isdigit()
+            else "other"
+        )
         if kind == "other" or owner is None:
             rows.append(Row(name, kind, size=len(data), why="" if kind == "other" else "nothing tells whose it is"))
             continue
@@ -53,16 +58,28 @@
             rows.append(Row(name, kind, size=len(data), why=str(error)))
             continue
         found = scan(data, head.chain)
-        rows.append(Row(name, kind, head.number, head.first, found.records, len(data),
-                        found.why or _joins(head, following, chain)))
+        rows.append(
+            Row(
+                name,
+                kind,
+                head.number,
+                head.first,
+                found.records,
+                len(data),
+                found.why or _joins(head, following, chain),
+            )
+        )
         chain, following = found.chain, head.first + len(found.records)
     return rows
 
 
 def _joins(head: Head, following: int, chain: int) -> str:
     if following and (head.first != following or head.chain != chain):
-        return f"it begins with record {head.first}, {following} was next" if head.first != following \
+        return (
+            f"it begins with record {head.first}, {following} was next"
+            if head.first != following
             else "it is not the one that was written after the segment before"
+        )
     return ""
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -34,8 +34,14 @@
 
 
 # Files whose cases are all played by one fixture, as several processes each: those of a group one after the other.
-GROUPS = {"test_changes_fleet": "changes", "test_cluster_fleet": "view", "test_cluster_duties_fleet": "duties",
-          "test_program_fleet": "programs", "test_ledger_fleet": "more", "test_cluster_works": "more"}
+GROUPS = {
+    "test_changes_fleet": "changes",
+    "test_cluster_fleet": "view",
+    "test_cluster_duties_fleet": "duties",
+    "test_program_fleet": "programs",
+    "test_ledger_fleet": "more",
+    "test_cluster_works": "more",
+}
 
 
 class Scheduling(LoadScopeScheduling):  # type: ignore[misc]
--- a/tests/driving.py
+++ b/tests/driving.py
@@ -14,13 +14,22 @@
         api.ServiceClass("plain", 1.0, 0.25, 1500.0, 9000.0),
         api.ServiceClass("dear", 3.0, 0.25, 1200.0, 9000.0),
     ),
-    gateways=4, release_guard_ms=500.0, resend_ms=500.0, cold_from=0.3, cold_ms=10_000.0,
-    fall_multiple=2.0, fall_ms=2000.0, drain_grace_ms=500.0, max_attempts=5, may_cancel=True,
+    gateways=4,
+    release_guard_ms=500.0,
+    resend_ms=500.0,
+    cold_from=0.3,
+    cold_ms=10_000.0,
+    fall_multiple=2.0,
+    fall_ms=2000.0,
+    drain_grace_ms=500.0,
+    max_attempts=5,
+    may_cancel=True,
 )
 
 
-def server(name: str, number: int, started_ms: float = 0.0,
-           state: api.ServerState = api.ServerState.IN_SERVICE) -> api.Server:
+def server(
+    name: str, number: int, started_ms: float = 0.0, state: api.ServerState = api.ServerState.IN_SERVICE
+) -> api.Server:
     """A line of the list."""
     return api.Server(name, number, state, started_ms)
 
@@ -28,8 +37,9 @@
 class Gateway:
     """A Controller with its timers, and all that it did: (time, action)."""
 
-    def __init__(self, servers: Sequence[api.Server] = (), settings: api.Settings = SETTINGS,
-                 seed: int = 1, **changed: object) -> None:
+    def __init__(
+        self, servers: Sequence[api.Server] = (), settings: api.Settings = SETTINGS, seed: int = 1, **changed: object
+    ) -> None:
         self.brain = Controller(replace(settings, **changed), seed)  # type: ignore[arg-type]
         self.now, self.count = 0.0, 0
         self.did: list[tuple[float, api.Action]] = []
@@ -55,8 +65,9 @@
         self.now = end
         return done
 
-    def call(self, name: str, kind: str = "plain", patience_ms: float = 3000.0, first: int = 0,
-             **more: object) -> list[api.Action]:
+    def call(
+        self, name: str, kind: str = "plain", patience_ms: float = 3000.0, first: int = 0, **more: object
+    ) -> list[api.Action]:
         """A caller asks for a call."""
         return self.tell(api.SetupRequest(name, kind, patience_ms, first, **more))  # type: ignore[arg-type]
 
@@ -64,14 +75,23 @@
         """The set-up is complete."""
         return self.tell(api.Answered(name, attempt, where, took_ms))
 
-    def end(self, name: str, where: str, outcome: api.Outcome, took_ms: float = 20.0, attempt: int = 0,
-            closed: bool = False, **more: object) -> list[api.Action]:
+    def end(
+        self,
+        name: str,
+        where: str,
+        outcome: api.Outcome,
+        took_ms: float = 20.0,
+        attempt: int = 0,
+        closed: bool = False,
+        **more: object,
+    ) -> list[api.Action]:
         """An attempt is over."""
         ended = api.AttemptEnded(name, attempt, where, outcome, took_ms, closed, **more)  # type: ignore[arg-type]
         return self.tell(ended)
 
-    def steady(self, seconds: float, where: str, rate: float = 10.0, took_ms: float = 20.0,
-               kind: str = "plain", first: int = 0) -> int:
+    def steady(
+        self, seconds: float, where: str, rate: float = 10.0, took_ms: float = 20.0, kind: str = "plain", first: int = 0
+    ) -> int:
         """Calls at an even rate, each answered where it was sent; how many went to the server named."""
         hits = 0
         for i in range(int(seconds * rate)):
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -41,9 +41,18 @@
 from tests.driving import SETTINGS
 
 LIMITS = Limits(guard_ms=500.0, max_attempts=5, may_test=True)
-WORDS = {"setup": Kind.SET_UP, "answer": Kind.ANSWER, "release": Kind.RELEASE, "heard": Kind.HEARD,
-         "test": Kind.TEST, "tested": Kind.TESTED, "status": Kind.STATUS, "progress": Kind.PROGRESS,
-         "refusal": Kind.REFUSAL, "failure": Kind.FAILURE}
+WORDS = {
+    "setup": Kind.SET_UP,
+    "answer": Kind.ANSWER,
+    "release": Kind.RELEASE,
+    "heard": Kind.HEARD,
+    "test": Kind.TEST,
+    "tested": Kind.TESTED,
+    "status": Kind.STATUS,
+    "progress": Kind.PROGRESS,
+    "refusal": Kind.REFUSAL,
+    "failure": Kind.FAILURE,
+}
 NAMES = {kind: word for word, kind in WORDS.items()}
 NOISE = {"noise": (b"\x00\xf3}{\n", b"\xf3\x00"), "half": (b'{"msg":"ready","sid":"aa', b"\x81\x7e\x04")}
 PATIENCE_S = 5.0  # real time after which a message that should come is given up: no verdict hangs on less
@@ -75,8 +84,9 @@
             self.say(Message(Kind.TESTED, message.call, cause=1))
         elif message.kind is not Kind.HEARD:  # free, and means nothing
             self.home.got.append((self.clock.now() - self.world.start, message))
-            self.world.log.append((self.clock.now() - self.world.start, self.home.name, NAMES[message.kind],
-                                   message.call, message.cause))
+            self.world.log.append(
+                (self.clock.now() - self.world.start, self.home.name, NAMES[message.kind], message.call, message.cause)
+            )
 
     def faulty(self, fault: Fault) -> None:
         raise AssertionError(f"the controller sent no message: {fault}")
@@ -125,11 +135,11 @@
 
     async def listen(self, home: StandIn) -> None:
         home.server = await asyncio.get_running_loop().create_server(
-            lambda: Peer(self, self.transport, False, home), "127.0.0.1", home.port)
+            lambda: Peer(self, self.transport, False, home), "127.0.0.1", home.port
+        )
         home.port = home.server.sockets[0].getsockname()[1]
 
-    def listed(self, name: str, state: api.ServerState = api.ServerState.IN_SERVICE,
-               started: float = 0.0) -> Listed:
+    def listed(self, name: str, state: api.ServerState = api.ServerState.IN_SERVICE, started: float = 0.0) -> Listed:
         entry = api.Server(name, int(name[1:]), state, started)
         return Listed(entry, Address("127.0.0.1", self.stand_ins[name].port))
 
@@ -137,7 +147,8 @@
         if name not in self.stand_ins:
             home = self.stand_ins[name] = StandIn(name)
             await asyncio.get_running_loop().create_connection(
-                lambda: Peer(self, self.transport, True, home), "127.0.0.1", self.port)
+                lambda: Peer(self, self.transport, True, home), "127.0.0.1", self.port
+            )
             await self.settle()
         return self.stand_ins[name]
 
@@ -163,8 +174,13 @@
             assert asyncio.get_running_loop().time() < until, f"{name} got nothing, expected {words}"
             await asyncio.sleep(0.0005)
         at, message = home.got.pop(0)
-        found = {"at": f"{at:.0f}", "cause": str(message.cause), "text": message.description or "",
-                 "load": "", **message.fields}
+        found = {
+            "at": f"{at:.0f}",
+            "cause": str(message.cause),
+            "text": message.description or "",
+            "load": "",
+            **message.fields,
+        }
         assert [NAMES[message.kind], message.call[:1].upper()] == words[:2], f"{name}: {message} at {at}"
         for word in words[2:]:
             key, _, value = word.partition("=")
@@ -179,7 +195,8 @@
             fields = {"class": "plain", "left": "3000", "key": "n1", "extras": extras} | fields
         cause, text = int(fields.pop("cause", "0")), fields.pop("text", None)
         home.peers[int(which) if which else -1].say(
-            Message(WORDS[words[0]], words[1].lower() * 16, fields, cause, text))
+            Message(WORDS[words[0]], words[1].lower() * 16, fields, cause, text)
+        )
         await self.settle()
 
     async def do(self, name: str, verb: str) -> None:
@@ -238,8 +255,11 @@
         if head == "wait":
             await self.wait(float(words[0]))
         elif head == "list":
-            state = {"DRAINING": api.ServerState.DRAINING, "DELETED": api.ServerState.GONE,
-                     "SERVING": api.ServerState.IN_SERVICE}[words[1]]
+            state = {
+                "DRAINING": api.ServerState.DRAINING,
+                "DELETED": api.ServerState.GONE,
+                "SERVING": api.ServerState.IN_SERVICE,
+            }[words[1]]
             more = dict(word.split("=") for word in words[2:])
             self.stand_ins.setdefault(more.get("as", words[0]), self.stand_ins[words[0]])
             listed = self.listed(more.get("as", words[0]), state, float(more.get("started", 0)))
