Ends of requests, connections and the process leave nobody without a word

Found, each at its lines:

- Calls that stand were cut by SIGKILL, untold: config.py counted the longest deadline whole, the platform as 3 s.
- Server.close() of asyncio drops a connection accepted in the same turn (an assertion in _attach): net/acceptor.py in its place, which takes what waits in the backlog first.
- 'left' was as of the decision, up to a dial (500 ms) too long: now as of the write, rounded down.
- A set-up could leave after its caller had closed: the loop held up, a queue behind a dial where cancels are not allowed, bytes waiting for a server that reads nothing, a WebSocket close (1 s), a FIN behind a full write buffer (for good).
The exchange gives attempts up by itself, and asks the socket (POLLRDHUP, FIONREAD) at the last moment.
- Input read after a stall counted its time from the reading: the selector tells how long it may have waited.
- close() over unread requests (shed, idle, bad messages, the stop): they are read and refused, then half-closed; a newcomer that there is no room for has its request refused.
Closing connections are bounded, and dropped after a while.
- Half-closed callers got no answer; attempts queued at a server replaced at its address waited for their time-out; requests and releases still open at the stop were not waited for; connections to servers had no bound over all.
- 'undecided near its deadline': a time-out and the watchdog due in one turn, the watchdog first; the module's word goes first now.

Connections silent, or with half a message, get 2.4 s (2 s): some requests take 2 s to be written, bad clients are due a close after 3 s.

Ruled out: the shared read buffer (copied in the same call).

--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 import zlib
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from sageweir.clock import SystemClock
 from sageweir.config import Address, Config, ConfigError, load
@@ -20,10 +20,12 @@
 from sageweir.net.feed import FeedClient
 from sageweir.net.jsonlines import JsonLines
 from sageweir.net.servers import ServerSide
+from sageweir.net.shutdown import Shutdown
 from sageweir.net.websocket import WebSocket
 from sageweir.net.wire import Wire
 from sageweir.quiet import RateLimit
 from sageweir.reload import Reloader
+from sageweir.selector import TimedSelector
 
 log = logging.getLogger("sageweir")
 
@@ -36,11 +38,15 @@
         raise ConfigError(f"{key}: cannot listen: {error.strerror or error}") from None
 
 
-async def serve(config: Config) -> None:
-    """Serve until SIGTERM or SIGINT, then answer all that was taken; SIGHUP reads the configuration anew."""
+async def serve(config: Config, held_ms: Callable[[], float] = lambda: 0.0) -> None:
+    """Serve until SIGTERM or SIGINT, then answer all that was taken; SIGHUP reads the configuration anew.
+
+    held_ms: for how long what the event loop reads now may have waited.
+    """
     loop, limits = asyncio.get_running_loop(), config.limits
     clock = SystemClock(loop)
     exchange = Exchange(clock, limits, config.settings, config.seed)
+    exchange.held_ms = held_ms
 
     def server_wire(address: Address) -> Wire:
         if address.path:
@@ -100,7 +106,7 @@
     def stopping() -> None:
         lifecycle.stop(clock.now(), shared=config.socket_fd is not None)
         if lifecycle.shared:
-            callers.stop_listening()  # what waits there is for the process that goes on
+            callers.stop_listening(True)  # what waits there is for the process that goes on
             if handover is not None:
                 handover.stop()
             callers.sweep()
@@ -141,8 +147,9 @@
     lifecycle.serving(clock.now())
     await stop.wait()
     log.info("%s: stopping, %d calls are open", config.name, len(exchange.calls))
+    shutdown = Shutdown(clock, limits, lifecycle, exchange, callers, servers)
     while (
-        not lifecycle.over(clock.now(), exchange.unanswered, len(exchange.calls) - exchange.unanswered)
+        not shutdown.due()
         or (handover is not None and not handover.settled())
         or (fleet is not None and not fleet.settled)
     ):
@@ -153,18 +160,11 @@
         fleet.leave()  # once more, as datagrams are lost
         fleet.close()
     admin.close()
-    callers.close()
     feed.stop()
-    if handover is not None:
-        # Guards against the end of a call that is on its way here and known nowhere else: it is heard, and passed on.
-        servers.part()
-        until = clock.now() + limits.linger_ms
-        while clock.now() < until and (servers.connected() or not handover.settled()):
-            await asyncio.sleep(0.01)
-    servers.close()
+    # Guards against the end of a call that is on its way here and known nowhere else: it is heard, and passed on.
+    await shutdown.run(handover.settled if handover is not None else lambda: True)
     if handover is not None:
         handover.close()
-    await asyncio.sleep(0.05)  # what was written last goes out
     log.info("%s: stopped", config.name)
 
 
@@ -178,7 +178,9 @@
     for handler in logging.getLogger().handlers:
         handler.addFilter(RateLimit())
     try:
-        asyncio.run(serve(load()))
+        selector = TimedSelector()
+        with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
+            runner.run(serve(load(), selector.held_ms))
     except ConfigError as error:
         print(f"sageweir: {error}", file=sys.stderr)
         return 2
--- a/sageweir/config.py
+++ b/sageweir/config.py
@@ -405,6 +405,7 @@
     # Guards against tables and buffers that a small machine can't hold: what the program needs for itself is
     # some 16 MB, and the rest is shared out. Descriptors: half for callers, the rest for servers and spare.
     room = int(memory) - 16
+    longest = max(c.deadline_ms for c in settings.classes)
     open_cap = _get(caps, "open_cap", int, "settings.caps.", base.open_calls)
     limits = Limits(
         max_attempts=settings.max_attempts,
@@ -412,6 +413,8 @@
         proxy_connections=min(base.proxy_connections, sockets // 16),
         admin_connections=min(base.admin_connections, max(4, sockets // 16)),
         accept_at_once=min(base.accept_at_once, sockets // 16),
+        leaving_connections=sockets // 16,
+        spare_server_connections=max(8, sockets // 4 - 8),
         write_bytes=min(base.write_bytes, max(64 * 1024, room * 4096)),
         kept_attempts=min(base.kept_attempts, room * 16),
         kept_ids=min(base.kept_ids, room * 128),
@@ -420,10 +423,10 @@
         may_test=_get(caps, "probing", bool, "settings.caps.", False),
         open_calls=min(open_cap, room * 64),
         # As long as the platform lets a process live that it stops, less what a sound end takes: a call that ends by
-        # itself before is not cut.
-        stop_standing_ms=max(c.deadline_ms for c in settings.classes) + base.stop_spare_ms - base.stop_end_ms,
-        stop_killed_ms=min(5000.0, max(c.deadline_ms for c in settings.classes)) + base.stop_spare_ms,
-        max_left_ms=10 * max(c.deadline_ms for c in settings.classes),
+        # itself before is not cut, and what is still open then is told to both its ends before the kill.
+        stop_standing_ms=min(base.stop_longest_ms, longest) + base.stop_spare_ms - base.stop_end_ms,
+        stop_killed_ms=min(base.stop_longest_shared_ms, longest) + base.stop_spare_ms,
+        max_left_ms=10 * longest,
     )
     known = _get(raw, "known", dict, "", {"n": 0, "events": []})
     events = tuple(
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -10,7 +10,7 @@
 import logging
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Protocol
 
@@ -50,7 +50,10 @@
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """One set-up of a call at one clearing server."""
+    """One set-up of a call at one clearing server.
+
+    written: its bytes were handed to a connection, so it may run; deferrals: how often it waited for unread input.
+    """
 
     request: Request
     number: int
@@ -59,6 +62,24 @@
     timeout_ms: float
     state: State = State.OUT
     timer: Timer | None = None
+    written: bool = False
+    deferrals: int = 0
+
+
+class Presence(Enum):
+    """What is known of a caller at the very moment when a set-up of its call would be written."""
+
+    WAITS = "waits"
+    UNREAD = "has said something that was not read yet, which may be a cancel"
+    GONE = "has closed its connection"
+
+
+class Clearance(Enum):
+    """Whether an attempt may be written now."""
+
+    SEND = "send"
+    DEFER = "ask again once the caller's unread input was read"
+    VOID = "never: it is over"
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +108,9 @@
 
     def release(self, call: str, cause: int) -> bool: ...
 
+    def presence(self) -> Presence:
+        """Whether the caller is still there, asked of the socket and not of what was read of it."""
+
     def let_go(self, call: str) -> None:
         """Nothing more is owed for this call, whoever ended it."""
 
@@ -155,8 +179,10 @@
         self.owed_elsewhere: dict[str, str] = {}  # calls that another process answers on connections here, with class
         self.calls: dict[str, Call] = {}
         self.unanswered = 0
+        self.releasing: dict[str, Call] = {}  # calls that stood and are over, whose caller is not told yet
         self.counters = Counters(c.name for c in settings.classes)
         self.watch: Watch | None = None
+        self.held_ms: Callable[[], float] = lambda: 0.0  # for how long what is taken now may have waited to be read
         self._out: dict[tuple[str, int], Attempt] = {}  # attempts in state OUT
         self._past: OrderedDict[str, None] = OrderedDict()  # ids of calls that are over
         self._inbox: deque[api.Event] = deque()
@@ -251,15 +277,42 @@
         attempt.timer = self.clock.after(timeout_ms, lambda: self._timed_out(attempt))
         self.servers.send(attempt)
 
+    def clearance(self, attempt: Attempt) -> Clearance:
+        """Whether an attempt may be written now; whoever writes set-ups asks at the last moment.
+
+        Guards against a set-up sent for a caller that closed or cancelled while the event loop was held up, or while
+        the attempt waited for a connection.
+        """
+        name = attempt.request.call
+        call = self.calls.get(name)
+        if attempt.state is not State.OUT or call is None or call.live is not attempt or self.time_left(attempt) < 1.0:
+            return Clearance.VOID
+        presence = call.caller.presence()
+        if presence is Presence.GONE:
+            log.info("call %s: its caller has closed, nothing is sent to %s", name, attempt.server)
+            self.give_up(name)
+            call.caller.fail(name)  # it reads no less where only its sending half is closed
+            return Clearance.VOID
+        if presence is Presence.UNREAD and attempt.deferrals < self.limits.send_deferrals:
+            attempt.deferrals += 1
+            return Clearance.DEFER
+        return Clearance.SEND
+
+    def time_left(self, attempt: Attempt) -> float:
+        """For how many ms the attempt is still waited for."""
+        return attempt.sent_at + attempt.timeout_ms - self.clock.now()
+
     def _cancel(self, name: str, number: int) -> None:
         attempt = self._out.get((name, number))
         if attempt is not None and self.servers is not None:
-            self._close(attempt, Ending(api.Outcome.CANCELLED))
+            self._close(attempt, Ending(api.Outcome.CANCELLED if attempt.written else api.Outcome.NOT_SENT))
             self.servers.give_up(attempt)
 
     def _timed_out(self, attempt: Attempt) -> None:
         if attempt.state is State.OUT and self.servers is not None:
-            self._close(attempt, Ending(api.Outcome.TIMED_OUT))
+            # What was never written proves that nothing ran: no release guard follows.
+            outcome = api.Outcome.TIMED_OUT if attempt.written else api.Outcome.CONNECT_FAILED
+            self._close(attempt, Ending(outcome))
             self.servers.give_up(attempt)
 
     def _close(self, attempt: Attempt, ending: Ending) -> None:
@@ -329,7 +382,9 @@
             self._post(api.CallerGone(name))
 
     def _unanswered(self, name: str) -> None:
-        # Guards against a request without a final answer, should the module ever forget one.
+        # Guards against a request without a final answer, should the module ever forget one. What waits for the module
+        # is handled first: a time-out that is due in the same turn of the loop is its to decide on.
+        self._work()
         call = self.calls.get(name)
         if call is not None and not call.stands:
             log.warning(
@@ -360,6 +415,10 @@
             self.counters.settle(request.service_class, Settled.DECLINED)
             caller.refuse(name, 0.0)
             return True
+        # Guards against a loop that was held up: the caller has waited meanwhile, and has so much less time left.
+        held = self.held_ms()
+        if held >= self.limits.stalled_ms:
+            request = replace(request, left_ms=max(0.0, request.left_ms - held))
         call = Call(request, caller)
         self.calls[name] = call
         self.unanswered += 1
@@ -399,6 +458,10 @@
         else:
             self._drop(name)
             self._post(api.CallerGone(name))
+            # At once, not when the module says so: nothing more may leave for a caller that is gone. What may have run
+            # is cancelled where the platform allows that.
+            if attempt is not None and (not attempt.written or self.controller.settings.may_cancel):
+                self._cancel(name, attempt.number)
         return True
 
     def outstanding(self) -> int:
@@ -512,9 +575,52 @@
     def _tell_release(self, call: Call, cause: int, until: float) -> None:
         # Guards against a caller's connection that is down when its call ends: told on another, for a while.
         name = call.request.call
+        self.releasing.pop(name, None)
         if call.caller.release(name, cause):
             return
         if self.clock.now() >= until:
             log.warning("call %s: its release found no connection", name)
         else:
+            self.releasing[name] = call
             self.clock.after(self.limits.release_retry_ms, lambda: self._tell_release(call, cause, until))
+
+    # The end of the process
+
+    def fail_unanswered(self) -> None:
+        """Give each request that is open its final answer now."""
+        for name, call in list(self.calls.items()):
+            if not call.stands:
+                log.warning("call %s: failed, as this process ends", name)
+                self._give_up_on(name)
+
+    def release_standing(self) -> None:
+        """End all calls that stand, at both ends: this process can't carry them any further."""
+        for name, call in list(self.calls.items()):
+            attempt = call.live
+            if attempt is not None and call.stands:
+                if self.servers is not None:
+                    self.servers.release(attempt, Cause.NORMAL)
+                self.ended(attempt, Ending(api.Outcome.RESET))
+                log.info("call %s: cut, as this process ends", name)
+
+    def owed(self) -> list[str]:
+        """What is still owed, each in a line: empty where every request and attempt has come to its end.
+
+        The audit at the end of the process and of tests; it compares the exchange's books with the module's.
+        """
+        self._work()
+        found = [f"call {name}: {'stands' if call.stands else 'no final answer'}" for name, call in self.calls.items()]
+        found += [f"call {name}: attempt {number} is out" for name, number in self._out]
+        found += [f"call {name}: its caller was not told that it is over" for name in self.releasing]
+        found += [f"call {name}: another process answers it" for name in self.owed_elsewhere]
+        module = self.controller
+        found += [f"call {name}: known to the decision module alone" for name in module.calls if name not in self.calls]
+        found += [
+            f"call {name}: waits in the decision module alone" for name in module.waiting if name not in self.calls
+        ]
+        for server, view in module.servers.items():
+            open_there = (key for key in view.out if key not in self._out)
+            found += [f"call {name}: the module counts attempt {number} at {server}" for name, number in open_there]
+        if self.unanswered != sum(not call.stands for call in self.calls.values()):
+            found.append(f"{self.unanswered} requests are counted as unanswered")
+        return found
--- a/sageweir/lifecycle.py
+++ b/sageweir/lifecycle.py
@@ -2,7 +2,7 @@
 
 Events come in with the clock's time (ms); every front asks here and keeps no flag of its own.
 
-    starting --serving--> ready --drain--> draining --resume--> ready;  any --stop--> stopping, the last
+    starting --serving--> ready --drain--> draining --resume--> ready;  any --stop--> stopping --end--> ending
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
     READY = "ready"
     DRAINING = "draining"
     STOPPING = "stopping"
+    ENDING = "ending"
 
 
 class Fate(Enum):
@@ -44,6 +45,18 @@
     standing: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Remaining:
+    """What a process that stops has still to see to: requests without an answer, calls that stand, callers that were
+    not told of an end yet, and whether anything is on its way in.
+    """
+
+    unanswered: int
+    standing: int
+    releases: int
+    arriving: bool
+
+
 class Lifecycle:
     """One state machine; a stop can't be taken back."""
 
@@ -64,7 +77,7 @@
 
     def drain(self, now: float) -> str:
         """Send clients away. Asked again it is granted, and the drain goes on from when it began."""
-        if self.phase in (Phase.STARTING, Phase.STOPPING):
+        if self.phase in (Phase.STARTING, Phase.STOPPING, Phase.ENDING):
             return str(self.phase.value)
         if self.phase is Phase.READY:
             self._go(Phase.DRAINING, now)
@@ -72,7 +85,7 @@
 
     def resume(self, now: float) -> str:
         """End of the drain; granted too where there is none, as that is what was asked for."""
-        if self.phase in (Phase.STARTING, Phase.STOPPING):
+        if self.phase in (Phase.STARTING, Phase.STOPPING, Phase.ENDING):
             return str(self.phase.value)
         if self.phase is Phase.DRAINING:
             self._go(Phase.READY, now)
@@ -80,10 +93,14 @@
 
     def stop(self, now: float, shared: bool) -> None:
         """The process is to end; shared: another one goes on at the same listener."""
-        if self.phase is not Phase.STOPPING:
+        if self.phase not in (Phase.STOPPING, Phase.ENDING):
             self.shared = shared
             self._go(Phase.STOPPING, now)
 
+    def end(self) -> None:
+        """The last moments: what still comes is refused."""
+        self.phase = Phase.ENDING
+
     # What follows from them
 
     def ready(self) -> bool:
@@ -112,18 +129,26 @@
 
     def takes(self, fate: Fate, left_ms: float, now: float) -> bool:
         """Whether a new set-up is taken on a connection with that fate; it may last for left_ms."""
+        if self.phase is Phase.ENDING:
+            return False
         if fate is not Fate.SHUT:
             return True
         # An old process takes what it surely answers before it is killed; nobody else can on that connection.
         return self.shared and now + left_ms <= self.since + self.limits.stop_killed_ms - self.limits.fresh_ms
 
-    def over(self, now: float, unanswered: int, standing: int) -> bool:
+    def out_of_time(self, now: float) -> bool:
+        """Whether what is still open has to be ended now, as the platform kills this process soon after."""
+        return self.phase is Phase.STOPPING and not self.shared and now - self.since >= self.limits.stop_standing_ms
+
+    def over(self, now: float, remaining: Remaining) -> bool:
         """Whether a process that stops may end."""
-        if self.phase is not Phase.STOPPING or unanswered:
+        if self.phase is not Phase.STOPPING or remaining.unanswered:
             return False
         # Requests still come for a while after the signal; calls that stand are released as time allows. In an
         # upgrade they go on after this process, so it must not cut them: it stays as long as it may.
         age = now - self.since
-        return age >= self.limits.stop_open_ms and (
-            not standing or (age >= self.limits.stop_standing_ms and not self.shared)
-        )
+        if age < self.limits.stop_open_ms:
+            return False
+        if age >= self.limits.stop_standing_ms:
+            return not self.shared or not remaining.standing
+        return not remaining.standing and not remaining.releases and not remaining.arriving
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -28,6 +28,10 @@
     admin_connections: int = 16  # of operators, set aside beside callers'
     server_connections: int = 8  # to one clearing server
     spread_connections: int = 4  # of these, over which set-ups are spread
+    spare_server_connections: int = 248  # to all servers: no more than one to each is opened from then on
+    leaving_connections: int = 64  # of callers, that are being closed
+    leaving_turns: int = 64  # of the loop, in which what lies unread on a connection is read before it is closed
+    send_deferrals: int = 3  # of one attempt, for input of its caller that was not read yet
     open_calls: int = 20_000  # requests waited for at once
     kept_attempts: int = 2048  # attempts that are over and still remembered, on one connection
     kept_ids: int = 8192  # calls that are over and still remembered, to tell what comes late from the unknown
@@ -35,8 +39,10 @@
     dial_ms: float = 500.0  # a connection that is not up by then has failed
     sweep_ms: float = 250.0  # between looks at callers' connections
     away_sweep_ms: float = 50.0  # the same while clients are sent away
-    first_word_ms: float = 2000.0  # a caller that has said nothing whole by then has its connection closed
-    caller_half_ms: float = 2000.0  # a caller's message that is not whole so long after its first byte
+    first_word_ms: float = (
+        2400.0  # a caller that has said nothing whole by then has its connection closed; some take 2 s
+    )
+    caller_half_ms: float = 2400.0  # a caller's message that is not whole so long after its first byte
     idle_ms: float = 10_000.0  # a caller's connection with no call on it; callers close theirs after 4 s
     redial_ms: float = 400.0  # between dials that only wait for news of standing calls
     guard_ms: float = 300.0  # no send of a call so long after an attempt in doubt
@@ -52,9 +58,12 @@
     vanished_ms: float = 6000.0  # and one that is silent so long, and can't be dialled, has cut its calls
     gone_silence_ms: float = 2000.0  # calls at a server that is gone from the list and silent so long are cut
     stop_open_ms: float = 800.0  # connections and requests are still taken so long after SIGTERM
-    stop_standing_ms: float = 9000.0  # and calls that stand are waited for so long
+    stop_standing_ms: float = 3550.0  # and calls that stand are waited for so long
+    stop_longest_ms: float = 3000.0  # a longer deadline counts as this long where the platform kills a process it stops
+    stop_longest_shared_ms: float = 5000.0  # the same in an upgrade, where another process goes on
     stop_spare_ms: float = 700.0  # the platform kills so long after the longest deadline has passed, or later
     stop_end_ms: float = 150.0  # of it for the end itself: calls are cut, both ends are told
+    stop_spare_end_ms: float = 20.0  # of the end itself, for leaving the process
     max_left_ms: float = 90_000.0  # the longest time that a caller may wait for an answer
     handover_ms: float = 300.0  # a new process waits so long for what an old one has learned
     admin_line_ms: float = 800.0  # an operator's call that is not whole by then is refused
@@ -62,7 +71,10 @@
     drain_refuse_ms: float = 1800.0  # new set-ups on connections that never run empty are refused from then on
     stop_killed_ms: float = 3700.0  # the platform kills so long after SIGTERM, or later
     fresh_ms: float = 300.0  # a new connection may be silent so long while clients are sent away
-    linger_ms: float = 1000.0  # the peer's close is awaited so long after ours (WebSocket)
+    linger_ms: float = 1000.0  # the peer's close is awaited so long after ours
+    unsent_ms: float = 100.0  # a set-up that a server has not read by then is not left to it
+    stalled_ms: float = 50.0  # a loop held up longer than this takes what it reads to have waited that long
+    stop_quiet_ms: float = 60.0  # a process that stops ends once nothing new came for so long
     may_test: bool = False  # whether the platform lets clearing servers be tested
     test_ms: float = 400.0  # a test of a clearing server without an answer has failed
     tests: int = 16  # that are out to one server
--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -10,10 +10,11 @@
 from collections.abc import Callable
 
 from sageweir.clock import Clock
-from sageweir.exchange import Exchange, Request
+from sageweir.exchange import Exchange, Presence, Request
 from sageweir.lifecycle import Fate, Lifecycle, Phase, Use
 from sageweir.limits import Limits
 from sageweir.messages import Cause, Fault, Kind, Message, parse_pairs
+from sageweir.net.acceptor import Acceptor
 from sageweir.net.connection import Connection
 from sageweir.net.wire import Wire
 
@@ -67,10 +68,11 @@
         self.faults = 0  # bad messages since the last good one
         self.relay: Callable[[Message], bool] | None = None  # says it where the connection is now: in another process
         self.early: list[Message] | None = None  # what is said before a connection that was passed here is up
+        self.leaving = False  # it is being closed: set-ups that still come are refused
 
     def received(self, message: Message) -> None:
         if self.parting:
-            return  # it crossed with the parting: the caller sends it again elsewhere
+            return  # it crossed with our close: by the protocol the caller sends it again on a new connection
         self.spoke = True
         match message.kind:
             case Kind.SET_UP:
@@ -81,8 +83,8 @@
                 # Guards against a set-up that comes twice: the first one stays open here, and is answered.
                 fresh = request.call not in self.open
                 self.open.add(request.call)
-                stays = self.side.lifecycle.takes(self.fate(), request.left_ms, self.clock.now())
-                if not self.side.exchange.take(request, self, turned_away=not stays):
+                away = self.leaving or not self.side.lifecycle.takes(self.fate(), request.left_ms, self.clock.now())
+                if not self.side.exchange.take(request, self, turned_away=away):
                     if fresh:
                         self.open.discard(request.call)
                         # Guards against silence towards a caller that takes the id of another's open call.
@@ -120,9 +122,27 @@
             self.finish("bad messages")
 
     def finish(self, reason: str) -> None:
-        """Close; what is open here is answered first, and calls that stand go on."""
+        """Close; what is open here is answered first, what lies unread too, and calls that stand go on."""
+        if self.leaving or self.parting:
+            return
+        self.leaving = True
         self.answer_all()
-        self.end(reason)
+        self.side.leaving(self)
+        self._end_once_read(reason, self.limits.leaving_turns)
+
+    def turn_away(self, reason: str) -> None:
+        """Close a new connection that there is no room for, once its first request has been refused."""
+        if not self.leaving:
+            self.leaving = True
+            self.side.leaving(self)
+            self.clock.after(self.limits.fresh_ms, lambda: self._end_once_read(reason, self.limits.leaving_turns))
+
+    def _end_once_read(self, reason: str, turns: int) -> None:
+        # Guards against a close over requests that were not read: the caller would see a reset in place of an answer.
+        if turns > 0 and self.unread():
+            self.clock.soon(lambda: self._end_once_read(reason, turns - 1))
+        else:
+            self.end(reason)
 
     def answer_all(self) -> None:
         for call in list(self.open):
@@ -170,8 +190,8 @@
 
     def look(self) -> None:
         """Part from the caller where it is time to."""
-        if self.up and self.fate() is Fate.CLOSE and not self.unread():
-            self.part("this controller sends its callers away")
+        if self.up and not self.leaving and self.fate() is Fate.CLOSE and not self.unread():
+            self.finish("this controller sends its callers away")
 
     def look_soon(self) -> None:
         """Look once all that has come in this turn is taken, as it may hold more set-ups."""
@@ -181,7 +201,7 @@
     def sweep(self, now: float) -> None:
         """Close what has had its time; called now and then."""
         self.look()
-        if self.parting:
+        if self.parting or self.leaving:
             return
         # Guards against callers that connect and say nothing, or half of something, and keep descriptors.
         limits = self.limits
@@ -199,10 +219,21 @@
         elif not self.open and not self.standing and now - self.heard_at >= limits.idle_ms:
             self.finish("idle")
 
+    def peer_left(self) -> None:
+        """The caller has closed: its set-ups are given up at once, those that stand go on."""
+        if self.relay is not None:
+            return
+        given_up, self.open = sorted(self.open), set()
+        for call in given_up:
+            self.side.exchange.give_up(call)
+            # Where only its sending half is closed, it still reads: it is owed an answer.
+            self.say(Message(Kind.FAILURE, call, cause=Cause.RESET))
+
     def lost(self, reset: bool) -> None:
         if self.relay is not None:
             return
         self.side.connections.pop(self, None)
+        self.side.left(self)
         self.standing.clear()
         for call in list(self.open):  # nobody can be answered any more
             self.side.exchange.give_up(call)
@@ -210,6 +241,13 @@
 
     # What the exchange says
 
+    def presence(self) -> Presence:
+        if self.relay is not None or self.early is not None:
+            return Presence.WAITS  # another process has the connection, or it has just come from there
+        if not self.up or self.hung_up():
+            return Presence.GONE
+        return Presence.UNREAD if self.unread() else Presence.WAITS
+
     def answer(self, call: str, description: str | None) -> bool:
         self.open.discard(call)
         if not self.say(Message(Kind.ANSWER, call, description=description)):
@@ -275,6 +313,9 @@
     def release(self, call: str, cause: int) -> bool:
         return self.say(Message(Kind.RELEASE, call, cause=cause))
 
+    def presence(self) -> Presence:
+        return Presence.WAITS  # only calls that stand are kept by address, and nothing more is sent for them
+
     def let_go(self, call: str) -> None:
         """Nothing is kept here."""
 
@@ -285,7 +326,8 @@
     def __init__(self, clock: Clock, limits: Limits, exchange: Exchange, lifecycle: Lifecycle) -> None:
         self.clock, self.limits, self.exchange, self.lifecycle = clock, limits, exchange, lifecycle
         self.connections: dict[CallerConnection, None] = {}
-        self.listeners: list[asyncio.Server] = []
+        self.listeners: list[Acceptor] = []
+        self._leaving: dict[CallerConnection, None] = {}  # that are being closed, oldest first
         self.most = limits.caller_connections
         self._closed = False
         self._sweep()
@@ -307,17 +349,15 @@
 
         Raises OSError where the address can't be had, or what is held is no listening socket.
         """
-        loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.create_server((host, port), family=family) if held is None else inherited(held)
         # Guards against a flood of connections that uses up the descriptors before the table's bound can act:
-        # the loop accepts as many in one turn as it is told of, and only later turns close what is too much.
-        server = await loop.create_server(
-            lambda: CallerConnection(self, wire()), sock=listener, backlog=self.limits.accept_at_once
-        )
+        # as many are accepted in one turn as it is told of, and only later turns close what is too much.
+        acceptor = Acceptor(self.clock, listener, lambda: CallerConnection(self, wire()), self.limits.accept_at_once)
         listener.listen(self.limits.backlog)
-        self.listeners.append(server)
-        return int(listener.getsockname()[1])
+        acceptor.start()
+        self.listeners.append(acceptor)
+        return acceptor.port
 
     def at_host(self, host: str) -> HostCaller:
         return HostCaller(self, host)
@@ -353,20 +393,53 @@
         if order and victim is not order[0]:
             log.info("%s: kept, as a request lies unread there", order[0].peer)
         log.warning("%s: closed, %d connections are open", victim.peer, len(self.connections))
-        victim.end("too many connections")
-        self.connections.pop(victim, None)
+        if victim is last:
+            victim.turn_away("too many connections")
+        else:
+            victim.finish("too many connections")
         if victim in idle:
             idle.remove(victim)
 
-    def stop_listening(self) -> None:
-        """Take no more connections; a listener that others share goes on there."""
-        for server in self.listeners:
-            server.close()
-        self.listeners.clear()
+    def leaving(self, connection: CallerConnection) -> None:
+        """A connection is being closed: it is not in the table any more, and no more than a few may take their time."""
+        self.connections.pop(connection, None)
+        self._leaving[connection] = None
+        if len(self._leaving) > self.limits.leaving_connections:
+            oldest = next(iter(self._leaving))
+            log.warning("%s: dropped, %d connections are being closed", oldest.peer, len(self._leaving))
+            oldest.drop()
+            self.left(oldest)
+
+    def left(self, connection: CallerConnection) -> None:
+        """A connection that was being closed is gone."""
+        self._leaving.pop(connection, None)
+
+    def arriving(self) -> bool:
+        """Whether anything is on its way in that was not taken yet: a connection, a message, a part of one."""
+        if any(acceptor.pending for acceptor in self.listeners):
+            return True
+        now, quiet = self.clock.now(), self.limits.stop_quiet_ms
+        return any(
+            c.unread() or c.wire.partial() or (not c.spoke and now - c.opened_at < quiet) for c in self.connections
+        )
+
+    def stop_listening(self, shared: bool) -> None:
+        """Take no more connections. shared: a listener goes on in another process, which takes what waits there."""
+        for acceptor in self.listeners:
+            acceptor.close(shared)
 
     def close(self) -> None:
-        """Stop listening and end what is open."""
+        """End what is open; each connection is closed once all that was read on it is answered."""
         self._closed = True
-        self.stop_listening()
+        self.stop_listening(False)
         for connection in list(self.connections):
-            connection.end("this controller stops")
+            connection.finish("this controller stops")
+
+    def drop(self) -> None:
+        """Close at once what is still open."""
+        for connection in [*self.connections, *self._leaving]:
+            connection.drop()
+
+    def closed(self) -> bool:
+        """Whether no connection is left."""
+        return not self.connections and not self._leaving
--- a/sageweir/net/connection.py
+++ b/sageweir/net/connection.py
@@ -6,6 +6,7 @@
 import asyncio
 import fcntl
 import logging
+import select
 import socket
 import termios
 from typing import cast
@@ -52,6 +53,9 @@
     def begun(self) -> None:
         """A message has begun to come, and is not whole."""
 
+    def peer_left(self) -> None:
+        """The peer has closed its side and will say nothing more; the connection ends after this."""
+
     def lost(self, reset: bool) -> None:
         """The connection is gone; reset where it broke, not where the peer closed it."""
 
@@ -102,9 +106,14 @@
             self.begun_at = self.heard_at
             self.begun()
         if self.wire.closed():
+            self.peer_left()
             self.end()
 
     def eof_received(self) -> bool:
+        # At once: the connection is only lost once all that waits to be written is, which may be never.
+        self.peer_left()
+        if self.unsent():
+            self.clock.after(self.limits.linger_ms, self.drop)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -123,6 +132,15 @@
             return False
         return count[0] > 0
 
+    def hung_up(self) -> bool:
+        """Whether the peer has closed or reset the connection, be it behind bytes that were not read yet."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None or sock.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     # Writing
 
     @property
@@ -152,30 +170,19 @@
         return True
 
     def end(self, reason: str = "") -> None:
-        """Close once all is written."""
-        if self.transport is not None and not self.transport.is_closing():
-            parting = self.wire.goodbye(reason)
-            self._write(parting)
-            if parting:  # the peer's own goodbye is awaited for a moment
-                self.clock.after(self.limits.linger_ms, self._close)
-            else:
-                self._close()
-
-    def part(self, reason: str) -> None:
         """Say that nothing more comes, and close once the peer has, or after a while."""
         if self.transport is None or self.transport.is_closing() or self.parting:
             return
-        # Guards against a reset that overtakes what was said last, and against losing what the peer says last.
+        # Guards against a reset that overtakes what was said last, and against losing what the peer says last. What was
+        # written and is never read is dropped after a while too.
+        goodbye = self.wire.goodbye(reason)
+        self._write(goodbye)
         self.parting = True
-        if goodbye := self.wire.goodbye(reason):
-            self._write(goodbye)
-        else:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if not goodbye:
             self.transport.write_eof()
-        self.clock.after(self.limits.linger_ms, self._close)
-
-    def _close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
+        self.clock.after(self.limits.linger_ms, self.drop)
 
     def drop(self) -> None:
         """Close at once; what is unsent stays unsent."""
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -15,7 +15,7 @@
 from dahliabridge import interface as api
 from sageweir.clock import Clock, Timer
 from sageweir.config import Address, Listed
-from sageweir.exchange import Attempt, Ending, Exchange, State
+from sageweir.exchange import Attempt, Clearance, Ending, Exchange, State
 from sageweir.limits import Limits
 from sageweir.messages import Cause, Fault, Kind, Message, parse_pairs
 from sageweir.net.connection import Connection
@@ -53,7 +53,7 @@
         self.attempts: dict[str, Attempt] = {}  # by call; out, standing, or over without the server's word
         self.suspect = False  # silent after a set-up: nothing more is sent here
         self.spoilt = False  # it sent what can't be read: what else comes is not listened to
-        self.unwritten = 0  # set-ups of which some bytes wait here for the server to read
+        self.unwritten: list[Attempt] = []  # set-ups of which some bytes wait here for the server to read
 
     def received(self, message: Message) -> None:
         if self.spoilt:
@@ -130,26 +130,45 @@
         self.link.lost(self, reset)
 
     def place(self, attempt: Attempt) -> bool:
-        """Send a set-up."""
-        if len(self.attempts) >= self.limits.kept_attempts:
-            over = [name for name, kept in self.attempts.items() if kept.state is State.OVER]
-            for name in over[: len(over) // 2 + 1]:
-                del self.attempts[name]
-        request = attempt.request
+        """Write a set-up; False where the connection is no more."""
+        self._make_room()
+        request, exchange = attempt.request, self.link.side.exchange
         self.attempts[request.call] = attempt
-        fields = {"class": request.service_class, "left": f"{attempt.timeout_ms:.0f}", "key": request.key}
+        # Rounded down, and as of now: the attempt may have waited for a dial, and the caller waits no longer than this.
+        left = int(exchange.time_left(attempt))
+        fields = {"class": request.service_class, "left": f"{left}", "key": request.key}
         said = self.say(Message(Kind.SET_UP, request.call, fields, description=request.description))
         if said:
-            self.unwritten += 1
-            if not self.unsent():
+            attempt.written = True
+            self.unwritten.append(attempt)
+            if self.unsent():
+                self.clock.after(self.limits.unsent_ms, lambda: self._unsent_late(attempt))
+            else:
                 self.resume_writing()
+        else:
+            # Guards against an attempt that goes out elsewhere, and is then counted as reset with this connection.
+            del self.attempts[request.call]
         return said
 
+    def _make_room(self) -> None:
+        """Forget the oldest attempts that are over, where too many are kept."""
+        if len(self.attempts) >= self.limits.kept_attempts:
+            over = [name for name, kept in self.attempts.items() if kept.state is State.OVER]
+            for name in over[: len(over) // 2 + 1]:
+                del self.attempts[name]
+
+    def _unsent_late(self, attempt: Attempt) -> None:
+        # Guards against a set-up that reaches a server which did not read for a while: its `left` would be too long.
+        if attempt in self.unwritten:
+            log.warning("%s: %s: reads nothing, its connection is dropped", self.link.name, self.peer)
+            self.drop()
+            self.link.lost(self, False)
+
     def resume_writing(self) -> None:
         """All bytes have gone to the system, so all attempts placed here are written whole."""
-        for _ in range(self.unwritten):
+        for _attempt in self.unwritten:
             self.link.side.exchange.counters.forwarded()
-        self.unwritten = 0
+        self.unwritten.clear()
 
 
 class ServerLink:
@@ -179,7 +198,9 @@
 
     def dial(self) -> None:
         """Open one more connection, unless one is coming up."""
-        full = len(self.connections) >= self.side.limits.server_connections
+        full = len(self.connections) >= self.side.limits.server_connections or (
+            bool(self.connections) and self.side.crowded()
+        )
         # Guards against a dial that reaches another server: the address of one that is gone is given anew.
         gone = self.ended or self.parting or self.state is api.ServerState.GONE
         if self.dialing is not None or gone or full:
@@ -227,9 +248,7 @@
             connection.suspect = False
         if open_ones:
             self.test(lambda passed: None, open_ones[:2])
-        queue, self.queue = self.queue, []
-        for attempt in queue:  # a dial that failed proves that nothing ran
-            self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+        self._fail_queue()
         # Guards against calls taken over from another process: a server that drains takes no new connection, and
         # one that this process never had is no sign that it is gone. The list tells, in time.
         if refused and not open_ones and (self.known or self.state is api.ServerState.IN_SERVICE):
@@ -259,8 +278,7 @@
         for name, cause in releases.items():
             connection.say(Message(Kind.RELEASE, name, cause=cause))
         for attempt in queue:
-            if attempt.state is State.OUT and not connection.place(attempt):
-                self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+            self.side.send(attempt)
         for old in list(self.connections):
             if old.suspect:
                 self._retire(old)
@@ -298,6 +316,14 @@
     def place(self, attempt: Attempt) -> None:
         """Send on the least busy sound connection with no word outstanding on this call, else dial."""
         name = attempt.request.call
+        match self.side.exchange.clearance(attempt):
+            case Clearance.VOID:
+                return
+            case Clearance.DEFER:  # two turns of the loop: what can be read now is read in the next one
+                self.side.clock.soon(lambda: self.side.clock.soon(lambda: self.side.send(attempt)))
+                return
+            case Clearance.SEND:
+                pass
         sound = [c for c in self.connections if c.up and not c.suspect]
         for connection in sorted(sound, key=ServerConnection.out):
             # Guards against many set-ups that go down with one connection: they are spread over a few.
@@ -339,6 +365,11 @@
         now = self.side.clock.now()
         for connection in list(self.connections):
             if connection.attempts.get(attempt.request.call) is attempt:
+                if attempt in connection.unwritten:
+                    # Guards against a set-up that begins at the server long after its caller has gone.
+                    connection.drop()
+                    self.lost(connection, False)
+                    continue
                 connection.say(Message(Kind.RELEASE, attempt.request.call, cause=Cause.NORMAL))
                 timed_out = now - attempt.sent_at >= attempt.timeout_ms
                 if timed_out and not connection.suspect and connection.heard_at <= attempt.sent_at:
@@ -385,13 +416,17 @@
     def stop_sending(self) -> None:
         """Drained or gone: nothing that waits here may go out any more."""
         # Guards against set-ups that leave late: such as wait for a dial, and bytes that wait for a reader.
-        queue, self.queue = self.queue, []
-        for attempt in queue:
-            self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+        self._fail_queue()
         for connection in list(self.connections):
             if connection.unsent():
                 connection.drop()
 
+    def _fail_queue(self) -> None:
+        """End what waits for a connection here; it never ran."""
+        queue, self.queue = self.queue, []
+        for attempt in queue:
+            self.side.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
+
     def _look(self) -> None:
         # Guards against a machine that vanishes with calls standing: it never says that they are over, and
         # the list tells of it late or never. Callers have to be told within 8 s of a call's end, which is
@@ -440,9 +475,12 @@
         self._give_dial_up()
         if self.redial is not None:
             self.redial.cancel()
+        self._fail_queue()
         for connection in list(self.connections):
             connection.drop()
         self.cut_all(why)
+        for name in list(self.tests):
+            self._test_over(name)
         self.side.ended(self)
 
 
@@ -509,6 +547,8 @@
 
     def send(self, attempt: Attempt) -> None:
         link = self.links.get(attempt.server)
+        if attempt.state is not State.OUT:
+            return  # it was given up while it waited to be sent
         if link is None or link.state is not api.ServerState.IN_SERVICE:
             log.warning("call %s: %s is not in service", attempt.request.call, attempt.server)
             self.exchange.ended(attempt, Ending(api.Outcome.CONNECT_FAILED))
@@ -557,12 +597,17 @@
         """Where each listed server is reached, for proxies that follow the module's decisions."""
         return {name: link.address for name, link in self.links.items()}
 
-    def part(self) -> None:
+    def end(self) -> None:
         """Say nothing more to the servers, and hear what they say last."""
         for link in [*self.links.values(), *self.leaving]:
             link.parting = True
             for connection in list(link.connections):
-                connection.part("this controller stops")
+                connection.end("this controller stops")
+
+    def crowded(self) -> bool:
+        """Whether all connections to servers take as many descriptors as are set aside for more than one to each."""
+        links = [*self.links.values(), *self.leaving]
+        return sum(len(link.connections) for link in links) >= self.limits.spare_server_connections
 
     def connected(self) -> bool:
         return any(link.connections for link in [*self.links.values(), *self.leaving])
--- a/tests/test_any_settings.py
+++ b/tests/test_any_settings.py
@@ -21,7 +21,7 @@
 from dahliabridge import interface as api
 from dahliabridge.brain import Controller
 from sageweir.clock import SetClock
-from sageweir.exchange import Attempt, Ending, Exchange, Request, State
+from sageweir.exchange import Attempt, Ending, Exchange, Presence, Request, State
 from sageweir.limits import Limits
 from sageweir.messages import Cause
 
@@ -112,6 +112,9 @@
     def release(self, call: object, cause: int) -> bool:
         return True  # of a caller and of a server
 
+    def presence(self) -> Presence:
+        return Presence.WAITS
+
     def let_go(self, call: str) -> None: ...
 
     def _final(self, call: str, how: str) -> bool:
@@ -316,6 +319,9 @@
     def release(self, call: object, cause: int) -> bool:
         return True
 
+    def presence(self) -> Presence:
+        return Presence.WAITS
+
     def let_go(self, call: str) -> None: ...
 
     def give_up(self, attempt: Attempt) -> None: ...
