--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -128,7 +128,8 @@
         self.leaving = True
         self.answer_all()
         self.side.leaving(self)
-        self._end_once_read(reason, self.limits.leaving_turns)
+        # Not at once: there may be more requests in the segment that is being read.
+        self.clock.soon(lambda: self._end_once_read(reason, self.limits.leaving_turns))
 
     def turn_away(self, reason: str) -> None:
         """Close a new connection that there is no room for, once its first request has been refused."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -26,18 +27,20 @@
 from enum import Enum
 from typing import Any
 
+import pytest
+
 from dahliabridge import interface as api
 from sageweir.clock import SetClock
 from sageweir.config import Address, Listed
 from sageweir.counters import show
 from sageweir.exchange import Exchange
-from sageweir.lifecycle import Lifecycle
+from sageweir.lifecycle import Lifecycle, Phase
 from sageweir.limits import Limits
 from sageweir.messages import Fault, Kind, Message
 from sageweir.net.callers import CallerSide
 from sageweir.net.connection import Connection
 from sageweir.net.jsonlines import JsonLines
-from sageweir.net.servers import ServerSide
+from sageweir.net.servers import ServerLink, ServerSide
 from sageweir.net.shutdown import Shutdown
 from sageweir.net.websocket import WebSocket
 from sageweir.net.wire import Wire
@@ -58,6 +61,8 @@
 }
 NAMES = {kind: word for word, kind in WORDS.items()}
 NOISE = {"noise": (b"\x00\xf3}{\n", b"\xf3\x00"), "half": (b'{"msg":"ready","sid":"aa', b"\x81\x7e\x04")}
+# Of this process alone: a port that a test has closed may be another's at once, in a test that runs beside it.
+HOST = f"127.{os.getpid() >> 16 & 0x7F}.{os.getpid() >> 8 & 0xFF}.{os.getpid() & 0xFF}"
 IDLE_TURNS = 8  # of the loop without anything new, after which all has come
 PATIENCE_S = 5.0  # real time after which a message that should come is given up: no verdict hangs on less
 
@@ -159,25 +164,29 @@
 class World:
     """A controller on a test clock, with its stand-ins on loopback."""
 
-    def __init__(self, transport: str) -> None:
+    def __init__(self, transport: str, settings: api.Settings = SETTINGS, limits: Limits = LIMITS) -> None:
         self.transport, self.moved = transport, 0
         self.clock = SetClock(soon=asyncio.get_running_loop().call_soon)
         self.start = self.clock.now()
         self.log: list[tuple[Any, ...]] = []
         self.seen: list[Seen] = []  # by all stand-ins, in the order in which they did
         self.stand_ins: dict[str, StandIn] = {}
-        self.exchange = Exchange(self.clock, LIMITS, SETTINGS, 1)
-        self.servers = ServerSide(self.clock, LIMITS, self.exchange, lambda _: wire(transport, True))
-        self.lifecycle = Lifecycle(LIMITS)
+        self.exchange = Exchange(self.clock, limits, settings, 1)
+        self.servers = ServerSide(self.clock, limits, self.exchange, lambda _: wire(transport, True))
+        self.lifecycle = Lifecycle(limits)
         self.lifecycle.serving(self.clock.now())
-        self.callers = CallerSide(self.clock, LIMITS, self.exchange, self.lifecycle)
-        self.shutdown = Shutdown(self.clock, LIMITS, self.lifecycle, self.exchange, self.callers, self.servers)
+        self.callers = CallerSide(self.clock, limits, self.exchange, self.lifecycle)
+        self.shutdown = Shutdown(self.clock, limits, self.lifecycle, self.exchange, self.callers, self.servers)
         self.port = 0
 
     async def stop(self) -> list[str]:
         """SIGTERM, up to the end of the process; what is owed at its end."""
+        if self.lifecycle.phase is Phase.ENDING:
+            return self.exchange.owed()
         self.lifecycle.stop(self.clock.now(), shared=False)
+        killed_at = self.clock.now() + LIMITS.stop_standing_ms + LIMITS.stop_end_ms
         while not self.shutdown.due():
+            assert self.clock.now() < killed_at, "the process does not end"
             await self.wait(20.0, self.turn)
         ending = asyncio.get_running_loop().create_task(self.shutdown.run(lambda: True))
         while not ending.done():
@@ -186,7 +195,7 @@
         return await ending
 
     async def open(self, servers: int) -> None:
-        self.port = await self.callers.listen("127.0.0.1", 0, lambda: wire(self.transport, False))
+        self.port = await self.callers.listen(HOST, 0, lambda: wire(self.transport, False))
         for i in range(servers):
             home = self.stand_ins[f"s{i}"] = StandIn(f"s{i}")
             await self.listen(home)
@@ -195,19 +204,19 @@
 
     async def listen(self, home: StandIn) -> None:
         home.server = await asyncio.get_running_loop().create_server(
-            lambda: Peer(self, self.transport, False, home), "127.0.0.1", home.port
+            lambda: Peer(self, self.transport, False, home), HOST, home.port
         )
         home.port = home.server.sockets[0].getsockname()[1]
 
     def listed(self, name: str, state: api.ServerState = api.ServerState.IN_SERVICE, started: float = 0.0) -> Listed:
         entry = api.Server(name, int(name[1:]), state, started)
-        return Listed(entry, Address("127.0.0.1", self.stand_ins[name].port))
+        return Listed(entry, Address(HOST, self.stand_ins[name].port))
 
     async def caller(self, name: str) -> StandIn:
         if name not in self.stand_ins:
             home = self.stand_ins[name] = StandIn(name)
             await asyncio.get_running_loop().create_connection(
-                lambda: Peer(self, self.transport, True, home), "127.0.0.1", self.port
+                lambda: Peer(self, self.transport, True, home), HOST, self.port
             )
             await self.settle()
         return self.stand_ins[name]
@@ -302,11 +311,11 @@
                 peer.deaf = True
             home.full = [socket.socket() for _ in range(4)]
             home.full[0].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            home.full[0].bind(("127.0.0.1", home.port))
+            home.full[0].bind((HOST, home.port))
             home.full[0].listen(0)
             for filler in home.full[1:]:
                 filler.setblocking(False)
-                filler.connect_ex(("127.0.0.1", home.port))
+                filler.connect_ex((HOST, home.port))
         elif verb == "return":
             for sock in home.full:
                 sock.close()
@@ -365,6 +374,22 @@
         await self.settle()
 
 
+async def hold_dials(world: World, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """Close all connections to servers, and hold the dials that follow until the event is set."""
+    gate, dial = asyncio.Event(), ServerLink._dial
+
+    async def held(link: ServerLink) -> None:
+        await gate.wait()
+        await dial(link)
+
+    monkeypatch.setattr(ServerLink, "_dial", held)
+    for name, home in world.stand_ins.items():
+        for peer in list(home.peers) if name.startswith("s") else []:
+            peer.hang_up()
+    await world.settle()
+    return gate
+
+
 def play(text: str, transport: str, servers: int = 2) -> list[tuple[Any, ...]]:
     """Run a scenario; what its stand-ins got, and when on the test clock."""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,9 +14,8 @@
 
 from dahliabridge import interface as api
 from sageweir.messages import Cause, Kind, Message
-from sageweir.net.servers import ServerLink
 from tests.audit import Terms, attempts_of, check_caller, check_servers
-from tests.scenario import Peer, World
+from tests.scenario import Peer, World, hold_dials
 
 CALL = "a" * 16
 LEFT_MS = 2500.0
@@ -139,18 +138,7 @@
 async def reach(world: World, state: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Bring the call to where the two ends meet."""
     if state == "waits for a dial":
-        gate = GATES[world] = asyncio.Event()
-        dial = ServerLink._dial
-
-        async def held(link: ServerLink) -> None:
-            await gate.wait()
-            await dial(link)
-
-        monkeypatch.setattr(ServerLink, "_dial", held)
-        for home in (world.stand_ins["s0"], world.stand_ins["s1"]):
-            for peer in list(home.peers):
-                peer.hang_up()
-        await world.settle()
+        GATES[world] = await hold_dials(world, monkeypatch)
     await world.line(f"c> setup A left={LEFT_MS:.0f} dest=0")
     if state == "waits for a dial":
         return
--- /dev/null
+++ b/tests/test_obligations.py
@@ -0,0 +1,576 @@
+"""What is owed at each end of a request, a connection or the process, with the instant forced in which it is owed.
+
+The table of all ends is docs/design/obligations.md; tests/test_obligations_table.py holds it to these tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any, cast
+
+import pytest
+
+from dahliabridge import interface as api
+from sageweir.clock import SetClock
+from sageweir.config import Address, Listed
+from sageweir.exchange import Attempt, Exchange, Request, State
+from sageweir.lifecycle import Lifecycle
+from sageweir.limits import Limits
+from sageweir.messages import Cause, Kind, Message
+from sageweir.net.callers import CallerConnection, CallerSide
+from sageweir.net.jsonlines import JsonLines
+from sageweir.net.servers import ServerConnection, ServerLink, ServerSide
+from tests.driving import SETTINGS
+from tests.scenario import HOST, LIMITS, Side, World, hold_dials, wire
+from tests.test_program import Ends
+
+CALL = "a" * 16
+TRANSPORTS = pytest.mark.parametrize("transport", ["lines", "websocket"])
+
+
+def play(
+    transport: str,
+    course: Callable[[World], Awaitable[None]],
+    settings: api.Settings = SETTINGS,
+    limits: Limits = LIMITS,
+    servers: int = 2,
+) -> None:
+    """Play a course on loopback; nothing may be owed when it is over and the process has stopped."""
+
+    async def run() -> None:
+        world = World(transport, settings, limits)
+        await world.open(servers)
+        try:
+            await course(world)
+            assert await world.stop() == []
+        finally:
+            await world.close()
+
+    asyncio.run(run())
+
+
+def setups(world: World) -> list[Message]:
+    """The set-ups that came to servers."""
+    return [
+        one.message
+        for one in world.seen
+        if one.side is Side.GOT and one.message is not None and one.message.kind is Kind.SET_UP
+    ]
+
+
+def told(world: World, name: str = "c") -> list[Kind]:
+    """What a caller was told of the call."""
+    return [
+        one.message.kind
+        for one in world.seen
+        if one.home == name and one.side is Side.GOT and one.message is not None and one.message.call == CALL
+    ]
+
+
+# A caller that goes away
+
+
+@TRANSPORTS
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("verb", ["close", "break"])
+def test_a_set_up_that_waits_for_a_dial_is_never_sent_once_its_caller_has_gone(
+    transport: str, may_cancel: bool, verb: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def course(world: World) -> None:
+        gate = await hold_dials(world, monkeypatch)
+        await world.line("c> setup A")
+        await world.line(f"c: {verb}")
+        gate.set()
+        await world.wait(100.0)
+        assert setups(world) == []
+
+    play(transport, course, replace(SETTINGS, may_cancel=may_cancel))
+
+
+@TRANSPORTS
+@pytest.mark.parametrize("says", ["a cancel", "a close"])
+def test_a_send_looks_at_the_last_moment_whether_its_caller_is_there(transport: str, says: str) -> None:
+    """The retry is due while what the caller said last lies unread: the loop was held up."""
+
+    async def course(world: World) -> None:
+        await world.line("c> setup A")
+        await world.line("s0< setup A")
+        await world.line("s0: break")
+        caller = world.stand_ins["c"].peers[-1]
+        if says == "a cancel":
+            caller.say(Message(Kind.RELEASE, CALL, cause=Cause.NORMAL))
+        else:
+            caller.hang_up()
+        world.clock.advance(520.0)  # no turn of the loop in between
+        await world.wait(100.0)
+        assert len(setups(world)) == 1
+
+    play(transport, course)
+
+
+def test_a_web_socket_close_gives_its_set_ups_up_at_once() -> None:
+    async def course(world: World) -> None:
+        await world.line("c> setup A")
+        await world.line("s0< setup A")
+        transport = world.stand_ins["c"].peers[-1].transport
+        assert transport is not None
+        transport.write(world.stand_ins["c"].peers[-1].wire.goodbye())  # and the TCP connection stays open
+        await world.settle()
+        await world.line("s0< release A cause=16")
+
+    play("websocket", course)
+
+
+class Held(asyncio.Transport):
+    """A transport whose peer reads nothing: all that is written stays unsent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.aborted = False
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def write(self, data: Any) -> None:
+        pass
+
+    def write_eof(self) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 10
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+def core() -> tuple[Exchange, SetClock, Ends]:
+    clock, ends = SetClock(), Ends()
+    return Exchange(clock, LIMITS, SETTINGS, 1), clock, ends
+
+
+def test_a_close_behind_a_full_write_buffer_is_seen_at_once_and_the_connection_is_dropped_in_time() -> None:
+    exchange, clock, _ = core()
+    side = CallerSide(clock, LIMITS, exchange, Lifecycle(LIMITS))
+    connection = CallerConnection(side, JsonLines(LIMITS.message_bytes))
+    transport = Held()
+    connection.connection_made(transport)
+    connection.received(Message(Kind.SET_UP, CALL, {"class": "plain", "left": "3000"}))
+    assert exchange.unanswered == 1
+    connection.eof_received()
+    assert exchange.unanswered == 0 and not exchange.calls
+    clock.advance(LIMITS.linger_ms)
+    assert transport.aborted
+
+
+@TRANSPORTS
+def test_a_half_closed_caller_gets_its_answer(transport: str) -> None:
+    async def course(world: World) -> None:
+        await world.line("c> setup A")
+        await world.line("s0< setup A")
+        writing = world.stand_ins["c"].peers[-1].transport
+        assert writing is not None
+        writing.write_eof()
+        await world.settle()
+        await world.line("c< release A cause=41")
+        await world.line("s0< release A cause=16")
+        await world.line("c: closed")
+
+    play(transport, course)
+
+
+# What was read, or lies unread, when a connection is closed
+
+
+@TRANSPORTS
+def test_a_request_that_lies_unread_when_its_connection_is_closed_is_answered(transport: str) -> None:
+    async def course(world: World) -> None:
+        await world.line("c> test A")
+        await world.line("c< tested A")
+        (connection,) = world.callers.connections
+        world.stand_ins["c"].peers[-1].say(
+            Message(Kind.SET_UP, CALL, {"class": "plain", "left": "3000", "key": "n1", "extras": "dest:0"})
+        )
+        connection.finish("idle")  # in the same turn
+        await world.settle()
+        await world.line("c< release A cause=42")
+        await world.line("c: closed")
+        assert setups(world) == []
+
+    play(transport, course)
+
+
+@TRANSPORTS
+def test_several_requests_in_one_segment_are_answered_before_a_close_over_bad_messages(transport: str) -> None:
+    async def course(world: World) -> None:
+        await world.line("c> test A")
+        await world.line("c< tested A")
+        caller = world.stand_ins["c"].peers[-1]
+        bad = Message(Kind.SET_UP, "b" * 16, {"class": "plain", "left": "-1"})
+        good = Message(Kind.SET_UP, CALL, {"class": "plain", "left": "3000", "key": "n1"})
+        assert caller.transport is not None
+        whole = b"".join(caller.wire.encode(one) for one in (*[bad] * LIMITS.caller_faults, good))
+        caller.transport.write(whole)
+        await world.settle()
+        assert told(world)[-1] is not Kind.TESTED, "the last request in the segment was not answered"
+
+    play(transport, course)
+
+
+@TRANSPORTS
+def test_a_newcomer_without_room_has_its_request_refused(transport: str) -> None:
+    limits = replace(LIMITS, caller_connections=1)
+
+    async def course(world: World) -> None:
+        await world.line("c2> setup B key=n2")
+        await world.line("s0< setup B")
+        await world.line("c> setup A")  # the only place is taken by a caller that is owed an answer
+        await world.line("c< release A cause=42")
+        await world.line("s0> answer B")
+        await world.line("c2< answer B")
+        await world.wait(LIMITS.fresh_ms)
+        await world.line("c: closed")
+        await world.line("s0> release B cause=16")
+
+    play(transport, course, limits=limits)
+
+
+@TRANSPORTS
+def test_connections_that_are_being_closed_are_bounded_and_end(transport: str) -> None:
+    limits = replace(LIMITS, caller_connections=1, leaving_connections=2)
+
+    async def course(world: World) -> None:
+        await world.line("c2> setup B key=n2")
+        for name in ("c3", "c4", "c5", "c6"):
+            await world.line(f"{name}: connect")
+        assert len(world.callers.connections) + len(world.callers._leaving) <= 3
+        await world.wait(LIMITS.fresh_ms + LIMITS.linger_ms)
+        assert world.callers._leaving == {}
+        await world.line("c2> release B cause=16")
+
+    play(transport, course, limits=limits)
+
+
+@TRANSPORTS
+@pytest.mark.parametrize("accepted", [False, True])
+def test_a_connection_that_the_system_took_is_served_though_its_listener_closes(transport: str, accepted: bool) -> None:
+    """It waits in the backlog, or was accepted in this very turn, when the process takes no more."""
+
+    async def course(world: World) -> None:
+        client = socket.create_connection((HOST, world.port))
+        client.setblocking(False)
+        side = wire(transport, True)
+        client.sendall(side.greeting())
+        (acceptor,) = world.callers.listeners
+        if accepted:
+            acceptor._accept()
+        world.callers.stop_listening(False)
+        loop, found = asyncio.get_running_loop(), list[Message]()
+        if transport == "websocket":
+            list(side.feed(await loop.sock_recv(client, 4096)))
+        client.sendall(side.encode(Message(Kind.SET_UP, CALL, {"class": "other", "left": "3000"})))
+        while not found:
+            data = await loop.sock_recv(client, 4096)
+            assert data, "closed without an answer"
+            found += [item for item in side.feed(data) if isinstance(item, Message)]
+        assert found[0].call == CALL
+        client.close()
+        await world.settle()
+
+    play(transport, course)
+
+
+# The process
+
+
+@TRANSPORTS
+def test_calls_that_stand_at_the_end_of_the_process_are_told_to_both_ends(transport: str) -> None:
+    async def course(world: World) -> None:
+        await world.line("c> setup A")
+        await world.line("s0< setup A")
+        await world.line("s0> answer A")
+        await world.line("c< answer A")
+        started = world.clock.now()
+        assert await world.stop() == []
+        await world.settle()
+        await world.line("c< release A cause=41")
+        await world.line("s0< release A cause=16")
+        assert world.clock.now() - started <= LIMITS.stop_standing_ms + LIMITS.stop_end_ms
+
+    play(transport, course)
+
+
+@TRANSPORTS
+def test_requests_that_are_open_when_the_process_is_about_to_be_killed_are_failed(transport: str) -> None:
+    async def course(world: World) -> None:
+        await world.line("c> setup A left=9000")
+        await world.line("s0< setup A")
+        await world.line("s0: break")
+        world.servers.follow([], True)  # nobody is left to send it to
+        world.lifecycle.stop(world.clock.now(), shared=False)
+        assert await world.stop() == []
+        await world.settle()
+        assert told(world) and told(world)[0] is not Kind.ANSWER
+
+    play(transport, course)
+
+
+@TRANSPORTS
+def test_a_request_in_pieces_that_is_whole_after_the_stop_began_is_answered(transport: str) -> None:
+    async def course(world: World) -> None:
+        await world.line("c> test A")
+        await world.line("c< tested A")
+        caller = world.stand_ins["c"].peers[-1]
+        assert caller.transport is not None
+        whole = caller.wire.encode(Message(Kind.SET_UP, CALL, {"class": "other", "left": "3000"}))
+        caller.transport.write(whole[:20])
+        await world.settle()
+        world.lifecycle.stop(world.clock.now(), shared=False)
+        await world.wait(LIMITS.stop_open_ms + 400.0)
+        assert not world.shutdown.due()
+        caller.transport.write(whole[20:])
+        await world.settle()
+        assert told(world)[-1] is not Kind.TESTED
+        assert world.shutdown.due()
+
+    play(transport, course)
+
+
+@TRANSPORTS
+def test_a_release_that_found_no_connection_is_waited_for_at_the_stop(transport: str) -> None:
+    async def course(world: World) -> None:
+        await world.line("c> setup A")
+        await world.line("s0< setup A")
+        await world.line("s0> answer A")
+        await world.line("c< answer A")
+        await world.line("c: close")
+        await world.line("s0> release A cause=16")
+        world.lifecycle.stop(world.clock.now(), shared=False)
+        await world.wait(LIMITS.stop_open_ms + 100.0)
+        assert not world.shutdown.due()
+        await world.line("c2: connect")
+        await world.wait(LIMITS.release_retry_ms)
+        await world.line("c2< release A cause=16")
+        await world.wait(LIMITS.stop_quiet_ms)
+
+    play(transport, course)
+
+
+def test_a_second_stop_changes_nothing_and_no_drain_is_granted_after_it() -> None:
+    life = Lifecycle(LIMITS)
+    life.serving(0.0)
+    life.stop(100.0, shared=False)
+    life.stop(2000.0, shared=True)
+    assert life.since == 100.0 and not life.shared
+    life.end()
+    assert life.drain(2100.0) and life.resume(2100.0) and not life.ready()
+
+
+# Time
+
+
+@TRANSPORTS
+def test_the_time_passed_to_a_server_is_what_is_left_after_the_dial(
+    transport: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def course(world: World) -> None:
+        gate = await hold_dials(world, monkeypatch)
+        await world.line("c> setup A left=400")  # its time goes on while the dial is held
+        await world.wait(300.0)
+        gate.set()
+        await world.settle()
+        (setup,) = setups(world)
+        assert 0 < float(setup.fields["left"]) <= 100.0
+        await world.line("s0> release A cause=17 note=sub")
+
+    play(transport, course)
+
+
+@TRANSPORTS
+def test_what_was_read_after_a_stall_has_that_much_less_time(transport: str) -> None:
+    async def course(world: World) -> None:
+        world.exchange.held_ms = lambda: 700.0
+        await world.line("c> setup A left=1000")
+        (setup,) = setups(world)
+        assert 0 < float(setup.fields["left"]) <= 300.0
+        await world.line("s0> release A cause=17 note=sub")
+
+    play(transport, course)
+
+
+def test_a_time_out_and_the_watchdog_in_one_turn_leave_the_word_to_the_module(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def course(world: World) -> None:
+        await world.line("c> setup A left=400")
+        await world.line("s0< setup A")
+        world.clock.advance(450.0)  # the attempt's time-out and the watchdog are both due
+        await world.settle()
+        await world.line("c< release A cause=41")
+        assert "undecided" not in caplog.text
+
+    caplog.set_level("WARNING")
+    play("lines", course)
+
+
+# Servers
+
+
+@TRANSPORTS
+def test_set_ups_that_wait_for_a_dial_to_a_server_that_moves_go_elsewhere_at_once(
+    transport: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def course(world: World) -> None:
+        await hold_dials(world, monkeypatch)
+        await world.line("c> setup A")
+        link = world.servers.links["s0"]
+        (attempt,) = link.queue
+        moved = Listed(api.Server("s0", 0, api.ServerState.IN_SERVICE), Address("127.0.0.1", 1))
+        world.servers.follow([moved], False)
+        assert attempt.state is State.OVER and not link.queue
+
+    play(transport, course)
+
+
+def link_with(transport: Held) -> tuple[ServerLink, ServerConnection, Exchange, SetClock, Ends]:
+    """A link whose one connection's server reads nothing."""
+    exchange, clock, ends = core()
+    side = ServerSide(clock, LIMITS, exchange, lambda _: JsonLines(LIMITS.message_bytes))
+    link = side.links["s0"] = ServerLink(side, "s0", Address("127.0.0.1", 1))
+    exchange.list_changed([api.Server("s0", 0, api.ServerState.IN_SERVICE)], True)
+    connection = ServerConnection(link, JsonLines(LIMITS.message_bytes))
+    link.coming = connection
+    connection.connection_made(transport)
+    return link, connection, exchange, clock, ends
+
+
+@pytest.mark.parametrize("ends_by", ["the caller", "time"])
+def test_a_set_up_of_which_bytes_wait_for_the_server_is_taken_back_with_its_connection(
+    ends_by: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ServerLink, "dial", lambda link: None)
+
+    class Filling(Held):
+        """Takes nothing from the first set-up on."""
+
+        size = 0
+
+        def write(self, data: Any) -> None:
+            self.size += len(data)
+
+        def get_write_buffer_size(self) -> int:
+            return self.size
+
+    transport = Filling()
+    link, connection, exchange, clock, ends = link_with(transport)
+    exchange.take(Request(CALL, "plain", 3000.0, first_choice=0), cast(Any, ends))
+    clock.advance(0.0)
+    assert list(connection.attempts) == [CALL] and connection.unwritten
+    if ends_by == "the caller":
+        exchange.give_up(CALL)
+    else:
+        clock.advance(LIMITS.unsent_ms)
+    assert transport.aborted and not link.connections
+    if ends_by == "the caller":
+        clock.advance(0.0)
+        assert exchange.owed() == []
+
+
+def test_a_set_up_that_a_connection_did_not_take_is_not_counted_as_reset_with_it() -> None:
+    transport = Held()
+    _, connection, exchange, _, _ = link_with(transport)
+    attempt = Attempt(Request(CALL, "plain", 3000.0), 0, "s0", exchange.clock.now(), 1000.0)
+    transport.aborted = True
+    assert not connection.place(attempt) and not connection.attempts and not attempt.written
+
+
+def test_more_connections_to_servers_than_set_aside_are_not_opened() -> None:
+    exchange, clock, _ = core()
+    limits = replace(LIMITS, spare_server_connections=2)
+    side = ServerSide(clock, limits, exchange, lambda _: JsonLines(limits.message_bytes))
+    link = side.links["s0"] = ServerLink(side, "s0", Address("127.0.0.1", 1))
+    assert not side.crowded()
+    link.connections += [ServerConnection(link, JsonLines(limits.message_bytes)) for _ in range(2)]
+    assert side.crowded()
+    link.dial()  # needs no loop: it is not tried
+    assert link.dialing is None
+
+
+# Two deployments in one process
+
+
+def test_two_configurations_side_by_side_know_nothing_of_each_other() -> None:
+    """Classes, tenants, busy numbers, limits and counts of one exchange are never seen in another."""
+    other = replace(
+        SETTINGS,
+        classes=(api.ServiceClass("only", 2.0, 0.1, 800.0, 4000.0),),
+        tenants=(api.Tenant("t", 5.0),),
+        max_attempts=1,
+        release_guard_ms=100.0,
+    )
+    alone: dict[str, list[tuple[object, ...]]] = {}
+
+    def one(settings: api.Settings, service_class: str) -> tuple[Exchange, SetClock, Ends]:
+        clock, ends = SetClock(), Ends()
+        limits = replace(LIMITS, guard_ms=settings.release_guard_ms, max_attempts=settings.max_attempts)
+        exchange = Exchange(clock, limits, settings, 7)
+        exchange.servers = Recorder(ends)
+        exchange.list_changed([api.Server("s0", 0, api.ServerState.IN_SERVICE)], True)
+        return exchange, clock, ends
+
+    def step(exchange: Exchange, clock: SetClock, ends: Ends, name: str, turn: int) -> None:
+        exchange.take(Request(f"{turn}", name, 2000.0, first_choice=0, key="busy", tenant="t"), cast(Any, ends))
+        clock.advance(40.0)
+        out = [told[1] for told in ends.told if isinstance(told[1], Attempt) and told[1].state is State.OUT]
+        for attempt in out:
+            exchange.answered(attempt, None)
+        clock.advance(200.0)
+
+    for settings, name in ((SETTINGS, "plain"), (other, "only")):
+        exchange, clock, ends = one(settings, name)
+        for turn in range(20):
+            step(exchange, clock, ends, name, turn)
+        alone[name] = [(told[0], str(getattr(told[1], "server", told[1]))) for told in ends.told]
+    first, second = one(SETTINGS, "plain"), one(other, "only")
+    for turn in range(20):
+        step(*first, "plain", turn)
+        step(*second, "only", turn)
+    for name, (exchange, _, ends) in (("plain", first), ("only", second)):
+        assert [(told[0], str(getattr(told[1], "server", told[1]))) for told in ends.told] == alone[name]
+        assert name in exchange.controller.classes and len(exchange.controller.classes) == (2 if name == "plain" else 1)
+        assert all(set(table) == set(exchange.controller.classes) for table in exchange.counters.settled.values())
+
+
+class Recorder:
+    """The way to servers, for exchanges without any."""
+
+    def __init__(self, ends: Ends) -> None:
+        self.told = ends.told
+
+    def send(self, attempt: Attempt) -> None:
+        attempt.written = True
+        self.told.append(("send", attempt))
+
+    def give_up(self, attempt: Attempt) -> None:
+        self.told.append(("give up", attempt.request.call))
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        self.told.append(("release", attempt.request.call))
+
+    def forget(self, attempt: Attempt) -> bool:
+        return True
+
+    def drop(self, attempt: Attempt) -> None:
+        pass
+
+    def adopt(self, attempt: Attempt) -> bool:
+        return True
+
+    def test(self, server: str, done: Callable[[bool], None]) -> None:
+        done(False)
