--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -85,6 +85,8 @@
         assert self.transport is not None
         self.home.closed = True
         self.transport.write(self.wire.goodbye())
+        if not self.transport.get_write_buffer_size():  # in this turn of the loop, not in the next
+            self.transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
         self.transport.close()
 
     def reset(self) -> None:
@@ -103,6 +105,9 @@
         if not self.deaf:
             super().buffer_updated(nbytes)
 
+    def eof_received(self) -> bool:
+        return super().eof_received() or self.deaf  # who hears nothing keeps its half open
+
     def received(self, message: Message) -> None:
         if message.kind is Kind.TEST:  # named by chance; a server that hears one passes it
             self.say(Message(Kind.TESTED, message.call, cause=1))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -119,6 +119,7 @@
     | {name: end for name, end in BY_SERVER.items() if "is full" not in name}
     | {"the server releases it": server_says(Kind.RELEASE, Cause.NORMAL)},
     "waits for the guard": COMMON | {"the next attempt is due": moves(520.0)},
+    "waits for the next server": COMMON | {"the next attempt is due": moves(25.0)},
     "waits for a dial": COMMON | {"the dial comes up": lambda world: GATES[world].set()},
 }
 CLOSES = LEAVES.keys()  # of one caller: it goes away once
@@ -148,6 +149,8 @@
         await world.line("c< answer A")
     elif state == "waits for the guard":
         await world.line("s0: break")
+    elif state == "waits for the next server":
+        await world.line("s0> release A cause=34")
 
 
 async def finish(world: World) -> None:
--- /dev/null
+++ b/tests/test_ends_property.py
@@ -0,0 +1,210 @@
+"""Any course of ends: exchange and decision module under random events and a set clock, with the audit at the end."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from dahliabridge import interface as api
+from sageweir.clock import SetClock
+from sageweir.exchange import Attempt, Clearance, Ending, Exchange, Presence, Request, State
+from sageweir.limits import Limits
+from sageweir.messages import Cause
+from tests.driving import SETTINGS
+
+LIMITS = Limits(guard_ms=SETTINGS.release_guard_ms, max_attempts=SETTINGS.max_attempts)
+NAMES = ("s0", "s1", "s2")
+ENDS = [outcome for outcome in api.Outcome if outcome is not api.Outcome.COMPLETED]
+PICK = st.integers(0, 30)
+
+
+class Caller:
+    """A caller that may go away without a word; it keeps what it is told."""
+
+    host = "127.0.0.1"
+
+    def __init__(self) -> None:
+        self.seen, self.finals, self.releases, self.reached = Presence.WAITS, 0, 0, True
+
+    def _final(self) -> bool:
+        self.finals += 1
+        return self.seen is not Presence.GONE
+
+    def answer(self, call: str, description: str | None) -> bool:
+        return self._final()
+
+    def refuse(self, call: str, wait_ms: float) -> bool:
+        return self._final()
+
+    def fail(self, call: str) -> bool:
+        return self._final()
+
+    def release(self, call: str, cause: int) -> bool:
+        if self.reached:
+            self.releases += 1
+        return self.reached
+
+    def presence(self) -> Presence:
+        return self.seen
+
+    def let_go(self, call: str) -> None:
+        pass
+
+
+class Servers:
+    """Servers that take what they are cleared to get; some attempts wait for a dial first."""
+
+    def __init__(self, exchange: Exchange, clock: SetClock) -> None:
+        self.exchange, self.clock = exchange, clock
+        self.dialing = False
+        self.waiting: list[Attempt] = []
+        self.open: list[Attempt] = []
+        self.standing: list[Attempt] = []
+
+    def send(self, attempt: Attempt) -> None:
+        match self.exchange.clearance(attempt):
+            case Clearance.VOID:
+                return
+            case Clearance.DEFER:
+                self.clock.soon(lambda: self.send(attempt))
+                return
+            case Clearance.SEND:
+                pass
+        if self.dialing:
+            self.waiting.append(attempt)
+            return
+        live = [other for other in self.open if other.request.call == attempt.request.call]
+        assert not live, f"a second attempt is out: {live[0]} and {attempt}"
+        assert self.exchange.time_left(attempt) > 0
+        attempt.written = True
+        self.open.append(attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        for table in (self.waiting, self.open):
+            if attempt in table:
+                table.remove(attempt)
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        for table in (self.open, self.standing):
+            if attempt in table:
+                table.remove(attempt)
+
+    def forget(self, attempt: Attempt) -> bool:
+        return False
+
+    def drop(self, attempt: Attempt) -> None:
+        pass
+
+    def adopt(self, attempt: Attempt) -> bool:
+        return True
+
+    def test(self, server: str, done: Any) -> None:
+        done(False)
+
+
+class AnyEnds(RuleBasedStateMachine):
+    """Requests, attempts, callers, servers and time end in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = SetClock()
+        self.exchange = Exchange(self.clock, LIMITS, SETTINGS, 3)
+        self.servers = Servers(self.exchange, self.clock)
+        self.exchange.servers = self.servers
+        self.callers: dict[str, Caller] = {}
+        self.exchange.list_changed([api.Server(n, i, api.ServerState.IN_SERVICE) for i, n in enumerate(NAMES)], True)
+
+    def turn(self) -> None:
+        self.clock.advance(0.0)
+
+    @rule(left=st.floats(1.0, 4000.0), name=st.sampled_from(["plain", "dear", "other"]), first=st.integers(0, 2))
+    def take(self, left: float, name: str, first: int) -> None:
+        call = f"{len(self.callers)}"
+        caller = self.callers[call] = Caller()
+        self.exchange.take(Request(call, name, left, key=f"k{first}", first_choice=first), caller)
+
+    @rule(which=PICK)
+    def cancel(self, which: int) -> None:
+        self.exchange.give_up(f"{which}", Cause.NORMAL)
+
+    @rule(which=PICK, how=st.sampled_from([Presence.GONE, Presence.UNREAD, Presence.WAITS]))
+    def seen(self, which: int, how: Presence) -> None:
+        caller = self.callers.get(f"{which}")
+        if caller is not None and caller.seen is not Presence.GONE:
+            caller.seen = how
+
+    @rule(which=PICK, reached=st.booleans())
+    def reach(self, which: int, reached: bool) -> None:
+        if (caller := self.callers.get(f"{which}")) is not None:
+            caller.reached = reached
+
+    @rule(which=PICK, twice=st.booleans())
+    def answer(self, which: int, twice: bool) -> None:
+        if self.servers.open:
+            attempt = self.servers.open.pop(which % len(self.servers.open))
+            self.servers.standing.append(attempt)
+            for _ in range(1 + twice):
+                self.exchange.answered(attempt, "sdp")
+
+    @rule(which=PICK, outcome=st.sampled_from(ENDS))
+    def end(self, which: int, outcome: api.Outcome) -> None:
+        if self.servers.open:
+            self.exchange.ended(self.servers.open.pop(which % len(self.servers.open)), Ending(outcome))
+
+    @rule(which=PICK, cut=st.booleans())
+    def end_standing(self, which: int, cut: bool) -> None:
+        if self.servers.standing:
+            attempt = self.servers.standing.pop(which % len(self.servers.standing))
+            outcome = api.Outcome.RESET if cut else api.Outcome.COMPLETED
+            self.exchange.ended(attempt, Ending(outcome, Cause.RESET if cut else Cause.NORMAL))
+
+    @rule(dialing=st.booleans())
+    def dial(self, dialing: bool) -> None:
+        self.servers.dialing = dialing
+        waiting, self.servers.waiting = ([], self.servers.waiting) if dialing else (self.servers.waiting, [])
+        for attempt in waiting:
+            if attempt.state is State.OUT:
+                self.servers.send(attempt)
+
+    @rule(which=st.sampled_from(NAMES), state=st.sampled_from(list(api.ServerState)), whole=st.booleans())
+    def listed(self, which: str, state: api.ServerState, whole: bool) -> None:
+        self.exchange.list_changed([api.Server(which, NAMES.index(which), state)], whole)
+
+    @rule(ms=st.sampled_from([0.0, 5.0, 25.0, 300.0, 520.0, 2500.0]), stall=st.booleans())
+    def wait(self, ms: float, stall: bool) -> None:
+        """stall: the loop stands still meanwhile, and all that is due fires in one turn."""
+        if stall:
+            self.clock._now += ms
+            self.turn()
+        else:
+            self.clock.advance(ms)
+
+    @invariant()
+    def one_final_answer(self) -> None:
+        for call, caller in self.callers.items():
+            assert caller.finals <= 1 and caller.releases <= 1, f"{call}: {caller.finals}, {caller.releases}"
+
+    def teardown(self) -> None:
+        """The process ends: nothing may be owed, and all who still listen have been told."""
+        self.servers.dialing = False
+        self.clock.advance(5000.0)
+        for attempt in list(self.servers.open):
+            self.exchange.ended(attempt, Ending(api.Outcome.ERROR))
+        self.servers.open.clear()
+        self.clock.advance(100.0)
+        self.exchange.fail_unanswered()
+        self.exchange.release_standing()
+        for caller in self.callers.values():
+            caller.reached = True
+        self.clock.advance(LIMITS.release_retry_ms)
+        assert self.exchange.owed() == []
+        for call, caller in self.callers.items():
+            gone = caller.seen is Presence.GONE or caller.finals == 1
+            assert gone or call in self.exchange._past, f"{call} has no final answer"
+
+
+TestAnyEnds = cast(Any, AnyEnds).TestCase
+TestAnyEnds.settings = settings(max_examples=200, stateful_step_count=40, derandomize=True, deadline=None)
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -6,9 +6,17 @@
 from __future__ import annotations
 
 import asyncio
+import copy
+import json
+import os
+import resource
 import socket
+import subprocess
+import sys
+import threading
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Any, cast
 
 import pytest
@@ -17,6 +25,7 @@
 from sageweir.clock import SetClock
 from sageweir.config import Address, Listed
 from sageweir.exchange import Attempt, Exchange, Request, State
+from sageweir.lab.rig import free_ports
 from sageweir.lifecycle import Lifecycle
 from sageweir.limits import Limits
 from sageweir.messages import Cause, Kind, Message
@@ -25,7 +34,7 @@
 from sageweir.net.servers import ServerConnection, ServerLink, ServerSide
 from tests.driving import SETTINGS
 from tests.scenario import HOST, LIMITS, Side, World, hold_dials, wire
-from tests.test_program import Ends
+from tests.test_program import EXAMPLE, ROOT, Ends, row
 
 CALL = "a" * 16
 TRANSPORTS = pytest.mark.parametrize("transport", ["lines", "websocket"])
@@ -98,13 +107,13 @@
     async def course(world: World) -> None:
         await world.line("c> setup A")
         await world.line("s0< setup A")
-        await world.line("s0: break")
+        await world.line("s0> release A cause=34")
         caller = world.stand_ins["c"].peers[-1]
         if says == "a cancel":
             caller.say(Message(Kind.RELEASE, CALL, cause=Cause.NORMAL))
         else:
             caller.hang_up()
-        world.clock.advance(520.0)  # no turn of the loop in between
+        world.clock.advance(25.0)  # no turn of the loop in between: the other server's turn is now
         await world.wait(100.0)
         assert len(setups(world)) == 1
 
@@ -117,6 +126,7 @@
         await world.line("s0< setup A")
         transport = world.stand_ins["c"].peers[-1].transport
         assert transport is not None
+        world.stand_ins["c"].peers[-1].deaf = True
         transport.write(world.stand_ins["c"].peers[-1].wire.goodbye())  # and the TCP connection stays open
         await world.settle()
         await world.line("s0< release A cause=16")
@@ -311,14 +321,13 @@
     async def course(world: World) -> None:
         await world.line("c> setup A left=9000")
         await world.line("s0< setup A")
-        await world.line("s0: break")
-        world.servers.follow([], True)  # nobody is left to send it to
-        world.lifecycle.stop(world.clock.now(), shared=False)
         assert await world.stop() == []
         await world.settle()
-        assert told(world) and told(world)[0] is not Kind.ANSWER
+        await world.line("c< release A cause=41")
+        await world.line("s0< release A cause=16")
 
-    play(transport, course)
+    patient = tuple(replace(one, aim_ms=8000.0) for one in SETTINGS.classes)  # an attempt may stay out so long
+    play(transport, course, replace(SETTINGS, classes=patient, resend_ms=0.0))
 
 
 @TRANSPORTS
@@ -574,3 +583,54 @@
 
     def test(self, server: str, done: Callable[[bool], None]) -> None:
         done(False)
+
+
+# Descriptors
+
+
+def test_discovery_and_operators_come_back_though_idle_callers_fill_the_descriptors(tmp_path: Path) -> None:
+    """The feed is down while three times as many callers connect as there are descriptors, and say nothing."""
+    sockets = 128
+    first, later = socket.create_server(("127.0.0.1", 0)), socket.create_server(("127.0.0.1", 0))
+    port, admin, feed = free_ports(3)
+    raw = copy.deepcopy(EXAMPLE)
+    known = raw["known"]["events"][0]
+    known["members"]["instances"] = [row(0, first)]
+    raw["limits"] = raw.get("limits", {}) | {"sockets": sockets}
+    raw["listen"], raw["feed"], raw["admin_addr"] = (f"127.0.0.1:{one}" for one in (port, feed, admin))
+    raw["settings"]["family_info"]["class_cells"] = [[0, 1], [0, 1]]
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    environment = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json")}
+    command = [sys.executable, "-m", "sageweir"]
+    program = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, env=environment)
+    assert program.stderr is not None
+    idle: list[socket.socket] = []
+    try:
+        while b"serving" not in (line := program.stderr.readline()):
+            assert line
+        resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+        threading.Thread(target=program.stderr.read, daemon=True).start()
+        for _ in range(3 * sockets):
+            idle.append(socket.create_connection(("127.0.0.1", port), timeout=60))
+        news = socket.create_server(("127.0.0.1", feed))
+        news.settimeout(60)
+        told, _ = news.accept()
+        told.recv(65536)
+        entry = json.dumps({"n": raw["known"]["n"] + 1, "members": {"reset": False, "instances": [row(1, later)]}})
+        told.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        told.sendall(f"id: {raw['known']['n'] + 1}\ndata: {entry}\n\n".encode())
+        later.settimeout(60)
+        link, _ = later.accept()  # the server that was just told of is dialled
+        with socket.create_connection(("127.0.0.1", admin), timeout=60) as operator:
+            operator.sendall(b"show-stat\n")
+            assert "discovered=2" in operator.makefile().read()
+        with socket.create_connection(("127.0.0.1", port), timeout=60) as caller:
+            caller.sendall(JsonLines(1000).encode(Message(Kind.TEST, CALL)))
+            assert json.loads(caller.makefile().readline())["code"] == 1
+        for one in (link, told, news):
+            one.close()
+    finally:
+        program.kill()
+        program.wait()
+        for one in (*idle, first, later):
+            one.close()
