--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -234,7 +234,7 @@
                 self.control(now_ms)
             case api.TimerFired(timer) if timer == WAIT_TIMER:
                 self.ticking = False
-                self.pump(now_ms)
+                self.dispatch(now_ms)
         if self.waiting and not self.ticking:
             self.ticking = True
             self.actions.append(api.SetTimer(WAIT_TIMER, TICK_MS))
@@ -309,7 +309,7 @@
             view.told(event.max_rate, event.hold_back)
             sent = view.out.pop((event.call, event.attempt), None)
             if sent is not None and sent >= self.woke_at:
-                self.judge(view, event, sent, now)
+                self.record_outcome(view, event, sent, now)
         if event.outcome is api.Outcome.NUMBER_BUSY and call:
             self.hot.pop(call.number, None)
             self.hot[call.number] = now + HOT_MS
@@ -328,7 +328,7 @@
         if over or call.ready_at >= self.latest(call):  # at once: after an own stall its time may be up
             self.finish(call, now, failed=True)
 
-    def judge(self, view: ServerView, event: api.AttemptEnded, sent: float, now: float) -> None:
+    def record_outcome(self, view: ServerView, event: api.AttemptEnded, sent: float, now: float) -> None:
         """Samples and pauses from an attempt that ended before it stood."""
         if event.outcome is api.Outcome.TIMED_OUT and sent < view.passed:
             return  # its answer was spoilt or lost: the server has answered what was sent later
@@ -365,7 +365,7 @@
 
     # Waiting and routing
 
-    def pump(self, now: float) -> None:
+    def dispatch(self, now: float) -> None:
         """On the tick, send what may go, by worth and then by deadline; refuse what would come too late."""
         tried: set[tuple[int, bool, int]] = set()
         for call in sorted(self.waiting.values(), key=lambda c: (-c.rank, c.aim_at)):
--- a/sageweir/cluster/changes/service.py
+++ b/sageweir/cluster/changes/service.py
@@ -20,6 +20,7 @@
 
 from dahliabridge import interface as api
 from dahliabridge.brain import Version
+from sageweir.attempts import Request
 from sageweir.clock import Timer
 from sageweir.cluster import points
 from sageweir.cluster.changes import program
@@ -54,7 +55,7 @@
 from sageweir.cluster.member import Fleet
 from sageweir.cluster.messages import State
 from sageweir.config import ChangesConfig, ClusterConfig, ConfigError
-from sageweir.exchange import Exchange, Request
+from sageweir.exchange import Exchange
 
 T = TypeVar("T")
 log = logging.getLogger("sageweir.cluster")
--- a/sageweir/cluster/changes/tally.py
+++ b/sageweir/cluster/changes/tally.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from dahliabridge import interface as api
+from sageweir.attempts import Request
 from sageweir.cluster.changes.messages import Row
 from sageweir.counters import Settled
-from sageweir.exchange import Request
 
 ROWS_MAX, OPEN_MAX = 16, 20_000
 
--- a/sageweir/cluster/ledger/service.py
+++ b/sageweir/cluster/ledger/service.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from sageweir.attempts import Request
 from sageweir.clock import Timer
 from sageweir.cluster import points
 from sageweir.cluster.changes.follower import Apply
@@ -42,7 +43,7 @@
 from sageweir.cluster.ledger.watch import Watch
 from sageweir.cluster.member import Fleet
 from sageweir.config import ChangesConfig, ClusterConfig
-from sageweir.exchange import Exchange, Request
+from sageweir.exchange import Exchange
 
 log = logging.getLogger("sageweir.cluster")
 PAGE = b"ledger-"
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -10,14 +10,24 @@
 import logging
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
-from enum import Enum
-from typing import Protocol
+from dataclasses import replace
 
 from dahliabridge import interface as api
 from dahliabridge.adapter import read_report
 from dahliabridge.brain import Controller
-from sageweir.clock import Clock, Timer
+from sageweir.attempts import (
+    Attempt,
+    AttemptResult,
+    Call,
+    Caller,
+    Clearance,
+    Presence,
+    Request,
+    Servers,
+    State,
+    Watch,
+)
+from sageweir.clock import Clock
 from sageweir.counters import Counters, Settled
 from sageweir.handover import Standing
 from sageweir.limits import Limits
@@ -26,148 +36,6 @@
 log = logging.getLogger("sageweir.exchange")
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
-    """A caller's set-up, with all that clearing servers are passed."""
-
-    call: str
-    service_class: str
-    left_ms: float
-    key: str = ""
-    first_choice: int = -1
-    was_cut: bool = False
-    description: str | None = None
-    tenant: str = ""
-
-
-class State(Enum):
-    """Where an attempt stands."""
-
-    OUT = "out"
-    STANDS = "stands"
-    OVER = "over"
-
-
-@dataclass(eq=False, slots=True)
-class Attempt:
-    """One set-up of a call at one clearing server.
-
-    written: its bytes were handed to a connection, so it may run; deferrals: how often it waited for unread input.
-    """
-
-    request: Request
-    number: int
-    server: str
-    sent_at: float
-    timeout_ms: float
-    state: State = State.OUT
-    timer: Timer | None = None
-    written: bool = False
-    deferrals: int = 0
-
-
-class Presence(Enum):
-    """What is known of a caller at the very moment when a set-up of its call would be written."""
-
-    WAITS = "waits"
-    UNREAD = "has said something that was not read yet, which may be a cancel"
-    GONE = "has closed its connection"
-
-
-class Clearance(Enum):
-    """Whether an attempt may be written now."""
-
-    SEND = "send"
-    DEFER = "ask again once the caller's unread input was read"
-    VOID = "never: it is over"
-
-
-@dataclass(frozen=True, slots=True)
-class Ending:
-    """How an attempt ended, with what the clearing server told along with it."""
-
-    outcome: api.Outcome
-    cause: int = Cause.RESET
-    report: Mapping[str, float] = field(default_factory=dict)
-
-
-class Caller(Protocol):
-    """Where a request came from. Each call says whether the words could be handed on.
-
-    host: its address; the end of a call that stands may be told to any connection from there.
-    """
-
-    @property
-    def host(self) -> str: ...
-
-    def answer(self, call: str, description: str | None) -> bool: ...
-
-    def refuse(self, call: str, wait_ms: float) -> bool: ...
-
-    def fail(self, call: str) -> bool: ...
-
-    def release(self, call: str, cause: int) -> bool: ...
-
-    def presence(self) -> Presence:
-        """Whether the caller is still there, asked of the socket and not of what was read of it."""
-
-    def let_go(self, call: str) -> None:
-        """Nothing more is owed for this call, whoever ended it."""
-
-
-class Servers(Protocol):
-    """The way to the clearing servers."""
-
-    def send(self, attempt: Attempt) -> None:
-        """Send the set-up, or end the attempt as one that could not connect."""
-
-    def give_up(self, attempt: Attempt) -> None:
-        """Tell the server that nobody waits for this set-up any more."""
-
-    def release(self, attempt: Attempt, cause: int) -> None:
-        """End a call that stands, or that was answered too late."""
-
-    def forget(self, attempt: Attempt) -> bool:
-        """Let go of a call that stands, which goes on; False where its server is not in service, and it is kept."""
-
-    def drop(self, attempt: Attempt) -> None:
-        """Forget a call that is over."""
-
-    def adopt(self, attempt: Attempt) -> bool:
-        """Take up a call that stands; False where its server is not in the list."""
-
-    def test(self, server: str, done: Callable[[bool], None]) -> None:
-        """Test a server; whether it has passed is told once, in time."""
-
-
-class Watch(Protocol):
-    """Is told what becomes of requests, and changes nothing."""
-
-    def takes(self, request: Request) -> None: ...
-
-    def sends(self, call: str, server: str, rules: int) -> None:
-        """rules: the version that the decision module decided under."""
-
-    def settles(self, request: Request, how: Settled) -> None:
-        """The final answer has been given."""
-
-
-@dataclass(eq=False, slots=True)
-class Call:
-    """A request that is owed an answer, or that stands."""
-
-    request: Request
-    caller: Caller
-    attempts: int = 0
-    live: Attempt | None = None
-    not_before: float = 0.0  # the release guard: no send until then
-    watchdog: Timer | None = None
-
-    @property
-    def stands(self) -> bool:
-        return self.live is not None and self.live.state is State.STANDS
-
-
 class Exchange:
     """Calls, their attempts, and the decision module over them."""
 
@@ -305,17 +173,17 @@
     def _cancel(self, name: str, number: int) -> None:
         attempt = self._out.get((name, number))
         if attempt is not None and self.servers is not None:
-            self._close(attempt, Ending(api.Outcome.CANCELLED if attempt.written else api.Outcome.NOT_SENT))
+            self._close(attempt, AttemptResult(api.Outcome.CANCELLED if attempt.written else api.Outcome.NOT_SENT))
             self.servers.give_up(attempt)
 
     def _timed_out(self, attempt: Attempt) -> None:
         if attempt.state is State.OUT and self.servers is not None:
             # What was never written proves that nothing ran: no release guard follows.
             outcome = api.Outcome.TIMED_OUT if attempt.written else api.Outcome.CONNECT_FAILED
-            self._close(attempt, Ending(outcome))
+            self._close(attempt, AttemptResult(outcome))
             self.servers.give_up(attempt)
 
-    def _close(self, attempt: Attempt, ending: Ending) -> None:
+    def _close(self, attempt: Attempt, result: AttemptResult) -> None:
         """An attempt is over; the module is told once."""
         if attempt.state is State.OVER:
             return
@@ -327,15 +195,15 @@
         call = self.calls.get(name)
         if call is not None and call.live is attempt:
             call.live = None
-            if ending.outcome in (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED):
+            if result.outcome in (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED):
                 call.not_before = now + self.limits.guard_ms
-        rate, share = read_report(ending.report)
+        rate, share = read_report(result.report)
         self._post(
             api.AttemptEnded(
                 name,
                 attempt.number,
                 attempt.server,
-                ending.outcome,
+                result.outcome,
                 now - attempt.sent_at,
                 call is None,
                 max_rate=rate,
@@ -369,7 +237,7 @@
             self.unanswered -= 1
         if call.watchdog is not None:
             call.watchdog.cancel()
-        call.caller.let_go(name)
+        call.caller.forget_call(name)
         self._past[name] = None
         if len(self._past) > self.limits.kept_ids:
             self._past.popitem(last=False)
@@ -452,7 +320,7 @@
         attempt = call.live
         if attempt is not None and attempt.state is State.STANDS:
             self._drop(name)
-            self._close(attempt, Ending(api.Outcome.CANCELLED))
+            self._close(attempt, AttemptResult(api.Outcome.CANCELLED))
             if self.servers is not None:
                 self.servers.release(attempt, cause)
         else:
@@ -496,7 +364,7 @@
                 # It does not count as over: what is heard of it from now on is for the other process.
                 del self.calls[name]
                 attempt.state = State.OVER
-                call.caller.let_go(name)
+                call.caller.forget_call(name)
                 self._post(api.CallerGone(name))
         return found
 
@@ -521,7 +389,7 @@
             return name in self._past
         attempt = call.live
         self.servers.drop(attempt)
-        self.ended(attempt, Ending(api.Outcome.RESET if cause == Cause.RESET else api.Outcome.COMPLETED, cause))
+        self.ended(attempt, AttemptResult(api.Outcome.RESET if cause == Cause.RESET else api.Outcome.COMPLETED, cause))
         return True
 
     # From clearing servers
@@ -543,7 +411,7 @@
         elif attempt.state is State.OVER or call is None or call.live is not attempt:
             # Guards against an answer to an attempt that was given up: it is released, never delivered.
             log.info("call %s: late answer from %s is released", name, attempt.server)
-            self._close(attempt, Ending(api.Outcome.CANCELLED))
+            self._close(attempt, AttemptResult(api.Outcome.CANCELLED))
             if self.servers is not None:
                 self.servers.release(attempt, Cause.NORMAL)
         else:
@@ -560,7 +428,7 @@
                 log.info("call %s: the answer found no caller, released", name)
                 self.give_up(name)
 
-    def ended(self, attempt: Attempt, ending: Ending) -> None:
+    def ended(self, attempt: Attempt, result: AttemptResult) -> None:
         """An attempt ended at the clearing server's side, before its answer or after."""
         if attempt.state is State.OVER:
             return
@@ -568,9 +436,9 @@
         call = self.calls.get(name)
         if stood:
             self._drop(name)
-        self._close(attempt, ending)
+        self._close(attempt, result)
         if stood and call is not None:
-            self._tell_release(call, ending.cause, self.clock.now() + self.limits.release_for_ms)
+            self._tell_release(call, result.cause, self.clock.now() + self.limits.release_for_ms)
 
     def _tell_release(self, call: Call, cause: int, until: float) -> None:
         # Guards against a caller's connection that is down when its call ends: told on another, for a while.
@@ -600,7 +468,7 @@
             if attempt is not None and call.stands:
                 if self.servers is not None:
                     self.servers.release(attempt, Cause.NORMAL)
-                self.ended(attempt, Ending(api.Outcome.RESET))
+                self.ended(attempt, AttemptResult(api.Outcome.RESET))
                 log.info("call %s: cut, as this process ends", name)
 
     def owed(self) -> list[str]:
--- a/sageweir/handover.py
+++ b/sageweir/handover.py
@@ -247,12 +247,12 @@
 
 
 class Succession:
-    """Who goes on after whom: this process's forerunner and its successor, and what follows from them."""
+    """Who goes on after whom: this process's predecessor and its successor, and what follows from them."""
 
     def __init__(self, name: str, settings: str) -> None:
         self.name, self.settings = name, settings
-        self.forerunner, self.successor = False, False  # whether there is one that is connected
-        self.leaving = False  # whether the forerunner takes no more
+        self.predecessor, self.successor = False, False  # whether there is one that is connected
+        self.leaving = False  # whether the predecessor takes no more
         self.place = False  # whether the meeting place is this process's
 
     def greeted(self, hello: Hello) -> bool:
@@ -265,13 +265,13 @@
         return hello.settings == self.settings
 
     def left(self) -> None:
-        """The forerunner takes no more."""
+        """The predecessor takes no more."""
         self.leaving = True
 
     def part(self) -> float:
         """The part of callers' descriptors that this process may use: two may run, and are seen as one."""
-        return 0.5 if self.successor or (self.forerunner and not self.leaving) else 1.0
+        return 0.5 if self.successor or (self.predecessor and not self.leaving) else 1.0
 
     def passes_on(self, over: Over) -> bool:
         """Whether the end of a call that is not open here is told to the other process: once, never back and forth."""
-        return (self.forerunner or self.successor) and not over.returned
+        return (self.predecessor or self.successor) and not over.returned
--- a/sageweir/lifecycle.py
+++ b/sageweir/lifecycle.py
@@ -23,7 +23,7 @@
     ENDING = "ending"
 
 
-class Fate(Enum):
+class Disposition(Enum):
     """What a caller's connection gets now."""
 
     KEEP = "keep"
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Use:
+class ConnectionUse:
     """What a caller's connection is doing: answers owed, a message half come, whether one came, since when open, and
     how many calls stand that were answered on it.
     """
@@ -107,7 +107,7 @@
         """Whether new clients may come."""
         return self.phase is Phase.READY
 
-    def fate(self, use: Use, now: float) -> Fate:
+    def disposition(self, use: ConnectionUse, now: float) -> Disposition:
         """What a caller's connection gets."""
         age, limits = now - self.since, self.limits
         if self.phase is Phase.DRAINING:
@@ -116,22 +116,22 @@
         elif self.phase is Phase.STOPPING and self.shared:
             settle, refuse = 0.0, limits.stop_open_ms
         else:
-            return Fate.KEEP
+            return Disposition.KEEP
         if age < settle:
-            return Fate.KEEP
+            return Disposition.KEEP
         # Guards against calls whose end finds no way to the caller: one that is sent away opens no other here. In an
         # upgrade it does, at the other process, and set-ups refused here would be lost to it.
         if use.owed or use.half or (use.standing and not self.shared):
-            return Fate.SHUT if age >= refuse else Fate.LAST
+            return Disposition.SHUT if age >= refuse else Disposition.LAST
         if not use.spoke and now - use.opened_at < limits.fresh_ms:
-            return Fate.SHUT if age >= refuse else Fate.LAST
-        return Fate.CLOSE
+            return Disposition.SHUT if age >= refuse else Disposition.LAST
+        return Disposition.CLOSE
 
-    def takes(self, fate: Fate, left_ms: float, now: float) -> bool:
-        """Whether a new set-up is taken on a connection with that fate; it may last for left_ms."""
+    def takes(self, disposition: Disposition, left_ms: float, now: float) -> bool:
+        """Whether a new set-up is taken on a connection with that disposition; it may last for left_ms."""
         if self.phase is Phase.ENDING:
             return False
-        if fate is not Fate.SHUT:
+        if disposition is not Disposition.SHUT:
             return True
         # An old process takes what it surely answers before it is killed; nobody else can on that connection.
         return self.shared and now + left_ms <= self.since + self.limits.stop_killed_ms - self.limits.fresh_ms
--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -9,9 +9,10 @@
 import socket
 from collections.abc import Callable
 
+from sageweir.attempts import Presence, Request
 from sageweir.clock import Clock
-from sageweir.exchange import Exchange, Presence, Request
-from sageweir.lifecycle import Fate, Lifecycle, Phase, Use
+from sageweir.exchange import Exchange
+from sageweir.lifecycle import ConnectionUse, Disposition, Lifecycle, Phase
 from sageweir.limits import Limits
 from sageweir.messages import Cause, Fault, Kind, Message, parse_pairs
 from sageweir.net.acceptor import Acceptor
@@ -71,7 +72,7 @@
         self.leaving = False  # it is being closed: set-ups that still come are refused
 
     def received(self, message: Message) -> None:
-        if self.parting:
+        if self.half_closed:
             return  # it crossed with our close: by the protocol the caller sends it again on a new connection
         self.spoke = True
         match message.kind:
@@ -83,7 +84,9 @@
                 # Guards against a set-up that comes twice: the first one stays open here, and is answered.
                 fresh = request.call not in self.open
                 self.open.add(request.call)
-                away = self.leaving or not self.side.lifecycle.takes(self.fate(), request.left_ms, self.clock.now())
+                away = self.leaving or not self.side.lifecycle.takes(
+                    self.disposition(), request.left_ms, self.clock.now()
+                )
                 if not self.side.exchange.take(request, self, turned_away=away):
                     if fresh:
                         self.open.discard(request.call)
@@ -95,9 +98,9 @@
                 self.open.discard(message.call)
                 self.standing.discard(message.call)
                 self.side.exchange.give_up(message.call, message.cause or Cause.NORMAL)
-                self.say(Message(Kind.HEARD, message.call))
+                self.send(Message(Kind.HEARD, message.call))
             case Kind.TEST:
-                self.say(Message(Kind.TESTED, message.call, cause=int(self.side.lifecycle.ready())))
+                self.send(Message(Kind.TESTED, message.call, cause=int(self.side.lifecycle.ready())))
             case Kind.HEARD | Kind.PROGRESS:
                 pass
             case _:
@@ -113,9 +116,9 @@
         if fault.call in self.open:
             told = True  # the first set-up with this id is still owed its answer, and that will do
         elif fault.set_up and fault.call:
-            told = self.say(Message(Kind.FAILURE, fault.call, {"reason": fault.reason}, Cause.MALFORMED))
+            told = self.send(Message(Kind.FAILURE, fault.call, {"reason": fault.reason}, Cause.MALFORMED))
         else:
-            said = self.say(Message(Kind.ERROR, fault.call, {"reason": fault.reason}))
+            said = self.send(Message(Kind.ERROR, fault.call, {"reason": fault.reason}))
             told = said and self.wire.says_errors
         if not told or self.faults >= self.limits.caller_faults:
             # Guards against a bad caller that is left without a word: where the wire has none, this closes.
@@ -123,7 +126,7 @@
 
     def finish(self, reason: str) -> None:
         """Close; what is open here is answered first, what lies unread too, and calls that stand go on."""
-        if self.leaving or self.parting:
+        if self.leaving or self.half_closed:
             return
         self.leaving = True
         self.answer_all()
@@ -156,25 +159,25 @@
             self.opened_at, self.heard_at = opened_at, heard_at
             early, self.early = self.early, None
             for message in early:
-                self.say(message)
+                self.send(message)
         self.side.opened(self)
 
     @property
     def host(self) -> str:
         return self.peer.rpartition(":")[0]
 
-    def fate(self) -> Fate:
+    def disposition(self) -> Disposition:
         """What the life of the process means for this connection."""
-        use = Use(len(self.open), self.wire.partial(), self.spoke, self.opened_at, len(self.standing))
-        return self.side.lifecycle.fate(use, self.clock.now())
+        use = ConnectionUse(len(self.open), self.wire.partial(), self.spoke, self.opened_at, len(self.standing))
+        return self.side.lifecycle.disposition(use, self.clock.now())
 
-    def say(self, message: Message) -> bool:
+    def send(self, message: Message) -> bool:
         if self.relay is not None:
             return self.relay(message)
         if self.early is not None:
             self.early.append(message)
             return True
-        return super().say(message)
+        return super().send(message)
 
     def movable(self) -> bool:
         """Whether another process can go on with this connection just as it is."""
@@ -191,7 +194,7 @@
 
     def look(self) -> None:
         """Part from the caller where it is time to."""
-        if self.up and not self.leaving and self.fate() is Fate.CLOSE and not self.unread():
+        if self.up and not self.leaving and self.disposition() is Disposition.CLOSE and not self.unread():
             self.finish("this controller sends its callers away")
 
     def look_soon(self) -> None:
@@ -202,7 +205,7 @@
     def sweep(self, now: float) -> None:
         """Close what has had its time; called now and then."""
         self.look()
-        if self.parting or self.leaving:
+        if self.half_closed or self.leaving:
             return
         # Guards against callers that connect and say nothing, or half of something, and keep descriptors.
         limits = self.limits
@@ -228,7 +231,7 @@
         for call in given_up:
             self.side.exchange.give_up(call)
             # Where only its sending half is closed, it still reads: it is owed an answer.
-            self.say(Message(Kind.FAILURE, call, cause=Cause.RESET))
+            self.send(Message(Kind.FAILURE, call, cause=Cause.RESET))
 
     def lost(self, reset: bool) -> None:
         if self.relay is not None:
@@ -251,7 +254,7 @@
 
     def answer(self, call: str, description: str | None) -> bool:
         self.open.discard(call)
-        if not self.say(Message(Kind.ANSWER, call, description=description)):
+        if not self.send(Message(Kind.ANSWER, call, description=description)):
             return False
         self.standing.add(call)
         self.served = True
@@ -261,24 +264,24 @@
     def refuse(self, call: str, wait_ms: float) -> bool:
         self.open.discard(call)
         fields = {"wait": f"{wait_ms:.0f}"} if wait_ms > 0 else {}
-        told = self.say(Message(Kind.REFUSAL, call, fields, Cause.CONGESTION))
+        told = self.send(Message(Kind.REFUSAL, call, fields, Cause.CONGESTION))
         self.look_soon()
         return told
 
     def fail(self, call: str) -> bool:
         self.open.discard(call)
-        told = self.say(Message(Kind.FAILURE, call, cause=Cause.RESET))
+        told = self.send(Message(Kind.FAILURE, call, cause=Cause.RESET))
         self.look_soon()
         return told
 
     def release(self, call: str, cause: int) -> bool:
         message = Message(Kind.RELEASE, call, cause=cause)
         self.standing.discard(call)
-        if self.say(message):
+        if self.send(message):
             return True
         return self.side.at_host(self.host).release(call, cause)
 
-    def let_go(self, call: str) -> None:
+    def forget_call(self, call: str) -> None:
         # Guards against a call that is ended on another connection, and would keep this one open for good.
         self.open.discard(call)
         self.standing.discard(call)
@@ -299,25 +302,25 @@
     def __init__(self, side: CallerSide, host: str) -> None:
         self.side, self.host = side, host
 
-    def say(self, message: Message) -> bool:
-        return any(c.host == self.host and c.say(message) for c in reversed(list(self.side.connections)))
+    def send(self, message: Message) -> bool:
+        return any(c.host == self.host and c.send(message) for c in reversed(list(self.side.connections)))
 
     def answer(self, call: str, description: str | None) -> bool:
-        return self.say(Message(Kind.ANSWER, call, description=description))
+        return self.send(Message(Kind.ANSWER, call, description=description))
 
     def refuse(self, call: str, wait_ms: float) -> bool:
-        return self.say(Message(Kind.REFUSAL, call, cause=Cause.CONGESTION))
+        return self.send(Message(Kind.REFUSAL, call, cause=Cause.CONGESTION))
 
     def fail(self, call: str) -> bool:
-        return self.say(Message(Kind.FAILURE, call, cause=Cause.RESET))
+        return self.send(Message(Kind.FAILURE, call, cause=Cause.RESET))
 
     def release(self, call: str, cause: int) -> bool:
-        return self.say(Message(Kind.RELEASE, call, cause=cause))
+        return self.send(Message(Kind.RELEASE, call, cause=cause))
 
     def presence(self) -> Presence:
         return Presence.WAITS  # only calls that stand are kept by address, and nothing more is sent for them
 
-    def let_go(self, call: str) -> None:
+    def forget_call(self, call: str) -> None:
         """Nothing is kept here."""
 
 
--- a/sageweir/net/connection.py
+++ b/sageweir/net/connection.py
@@ -35,7 +35,7 @@
         self.heard_at = clock.now()
         self.opened_at = self.heard_at
         self.begun_at: float | None = None  # when the message that is not whole yet began
-        self.parting = False  # this side has said all, and closes once the peer has
+        self.half_closed = False  # this side has said all, and closes once the peer has
 
     # For the two sides to fill in
 
@@ -69,7 +69,7 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.heard_at = self.opened_at = self.clock.now()
-        self._write(self.wire.greeting())
+        self._write(self.wire.opening())
         if self.wire.ready():
             self.opened()
 
@@ -145,13 +145,18 @@
 
     @property
     def up(self) -> bool:
-        return self.transport is not None and not self.transport.is_closing() and self.wire.ready() and not self.parting
+        return (
+            self.transport is not None
+            and not self.transport.is_closing()
+            and self.wire.ready()
+            and not self.half_closed
+        )
 
     def unsent(self) -> int:
         """Bytes that wait here for the peer to read."""
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
-    def say(self, message: Message) -> bool:
+    def send(self, message: Message) -> bool:
         """Send a message; False where the connection is no more."""
         if not self.up:
             return False
@@ -171,16 +176,16 @@
 
     def end(self, reason: str = "") -> None:
         """Say that nothing more comes, and close once the peer has, or after a while."""
-        if self.transport is None or self.transport.is_closing() or self.parting:
+        if self.transport is None or self.transport.is_closing() or self.half_closed:
             return
         # Guards against a reset that overtakes what was said last, and against losing what the peer says last. What was
         # written and is never read is dropped after a while too.
-        goodbye = self.wire.goodbye(reason)
-        self._write(goodbye)
-        self.parting = True
+        closing = self.wire.closing(reason)
+        self._write(closing)
+        self.half_closed = True
         if self.transport is None or self.transport.is_closing():
             return
-        if not goodbye:
+        if not closing:
             self.transport.write_eof()
         self.clock.after(self.limits.linger_ms, self.drop)
 
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -46,8 +46,8 @@
 class Channel:
     """One connection to the other process; descriptors go along with messages, so it reads and writes itself."""
 
-    def __init__(self, side: Handover, sock: socket.socket, forerunner: bool) -> None:
-        self.side, self.forerunner = side, forerunner
+    def __init__(self, side: Handover, sock: socket.socket, predecessor: bool) -> None:
+        self.side, self.predecessor = side, predecessor
         self.waiting = 0  # bytes that the other process has not taken
         self._sock: socket.socket | None = sock
         self._loop = asyncio.get_running_loop()
@@ -83,7 +83,7 @@
         sock.setblocking(False)
         return sock
 
-    def say(self, word: Word, descriptor: int | None = None) -> bool:
+    def send(self, word: Word, descriptor: int | None = None) -> bool:
         """Send a message, with a descriptor that is this channel's to close; False where the other is gone."""
         if self._sock is None:
             if descriptor is not None:
@@ -136,7 +136,7 @@
 
 
 class Handover:
-    """This process's way to its forerunner and to its successor."""
+    """This process's way to its predecessor and to its successor."""
 
     def __init__(
         self,
@@ -153,13 +153,13 @@
         self.clock, self.limits, self.exchange, self.callers, self.wire = clock, limits, exchange, callers, wire
         self.path = folder / PLACE
         self.succession = Succession(name, settings)
-        self.forerunner: Channel | None = None
+        self.predecessor: Channel | None = None
         self.successor: Channel | None = None
         self._listener: socket.socket | None = None
         self._known: asyncio.Future[Known | None] = asyncio.get_running_loop().create_future()
         self._stopping = False
-        self._passed: dict[str, CallerConnection] = {}  # calls of the forerunner's, on connections that came from it
-        self._kept: dict[str, Standing] = {}  # calls that the forerunner keeps: taken up when it is gone
+        self._passed: dict[str, CallerConnection] = {}  # calls of the predecessor's, on connections that came from it
+        self._kept: dict[str, Standing] = {}  # calls that the predecessor keeps: taken up when it is gone
         self._named: set[str] = set()  # calls that this process keeps, and has named to its successor
         self._tasks: set[asyncio.Task[None]] = set()
         self._strangers: list[Channel] = []  # that have not said who they are
@@ -168,7 +168,7 @@
     # Starting
 
     async def inherit(self) -> None:
-        """Learn from a forerunner, where one answers in time; then this process may be ready."""
+        """Learn from a predecessor, where one answers in time; then this process may be ready."""
         sock = socket.socket(socket.AF_UNIX)
         sock.setblocking(False)
         try:
@@ -179,10 +179,10 @@
                 log.info("a cold start: nobody answers at %s: %s", self.path, error)
             self._take_place()
             return
-        self.forerunner, self.succession.forerunner = Channel(self, sock, True), True
+        self.predecessor, self.succession.predecessor = Channel(self, sock, True), True
         self.callers.set_part(self.succession.part())
         wait = self.clock.after(self.limits.handover_ms, lambda: self._settle(None))
-        self.forerunner.say(Hello(self.succession.name, self.succession.settings))
+        self.predecessor.send(Hello(self.succession.name, self.succession.settings))
         known = await self._known
         wait.cancel()
         if known is None:
@@ -234,29 +234,29 @@
     def received(self, channel: Channel, word: Word) -> None:
         """One message of the other process. Raises HandoverError where it may not say that."""
         match word:
-            case Hello() if not channel.forerunner and self.successor is None:
+            case Hello() if not channel.predecessor and self.successor is None:
                 same = self.succession.greeted(word)
                 self.successor = channel
                 if channel in self._strangers:
                     self._strangers.remove(channel)
                 self.callers.set_part(self.succession.part())
-                channel.say(Known(learned(self.exchange.controller) if same else None))
+                channel.send(Known(learned(self.exchange.controller) if same else None))
                 log.info("a successor is there%s", "" if same else ", with other settings")
                 if self._stopping:
                     self._leave()
-            case Known() if channel is self.forerunner:
+            case Known() if channel is self.predecessor:
                 self._settle(word)
-            case Yours() if channel is self.forerunner:
+            case Yours() if channel is self.predecessor:
                 self.succession.left()
                 self.callers.set_part(self.succession.part())
                 self._take_place()
-            case Passed() if channel is self.forerunner:
+            case Passed() if channel is self.predecessor:
                 self._take_over(word, channel.take_socket())
-            case Told() if channel is self.forerunner:
+            case Told() if channel is self.predecessor:
                 self._tell(word)
-            case Standing() if channel is self.forerunner:
+            case Standing() if channel is self.predecessor:
                 self._adopt(word)
-            case Over() if channel in (self.forerunner, self.successor):
+            case Over() if channel in (self.predecessor, self.successor):
                 self._over(channel, word)
             case _:
                 raise HandoverError(f"{type(word).__name__} is not its to say")
@@ -287,8 +287,8 @@
             return
         del self._passed[word.call]
         self._kept.pop(word.call, None)
-        connection.let_go(word.call)
-        connection.say(Message(Kind(word.word), word.call, word.fields, word.cause, word.text))
+        connection.forget_call(word.call)
+        connection.send(Message(Kind(word.word), word.call, word.fields, word.cause, word.text))
 
     def _adopt(self, word: Standing) -> None:
         if word.kept:
@@ -303,7 +303,7 @@
     def _over(self, channel: Channel, word: Over) -> None:
         if not self.exchange.over(word.call, word.cause, word.by_caller) and not word.returned:
             # It crossed with the call itself, which is on its way over there.
-            channel.say(Over(word.call, word.cause, word.by_caller, True))
+            channel.send(Over(word.call, word.cause, word.by_caller, True))
 
     def heard_of(self, call: str, cause: int, by_caller: bool) -> bool:
         """The end of a call that is not open here; True where the other process is told."""
@@ -314,24 +314,24 @@
         over = Over(call, cause, by_caller, False)
         if not self.succession.passes_on(over):
             return False
-        for channel in (self.forerunner, self.successor):
+        for channel in (self.predecessor, self.successor):
             if channel is not None:
-                channel.say(over)
+                channel.send(over)
         return True
 
     def lost(self, channel: Channel) -> None:
         """The other process has ended, or speaks no more."""
         if channel is self.successor:
             self.successor, self.succession.successor = None, False
-        elif channel is self.forerunner:
-            self.forerunner, self.succession.forerunner = None, False
+        elif channel is self.predecessor:
+            self.predecessor, self.succession.predecessor = None, False
             self._settle(None)
             self._answer_for()
             self._take_place()
         self.callers.set_part(self.succession.part())
 
     def _answer_for(self) -> None:
-        """Give the final answers that the forerunner owed, and can't give any more; take up what it kept."""
+        """Give the final answers that the predecessor owed, and can't give any more; take up what it kept."""
         kept, self._kept = self._kept, {}
         for word in kept.values():
             self._adopt(replace(word, kept=False))
@@ -355,7 +355,7 @@
     def _leave(self) -> None:
         self._close_place()
         if self.successor is not None:
-            self.successor.say(Yours())
+            self.successor.send(Yours())
             self.hand_over()
 
     def hand_over(self) -> None:
@@ -371,7 +371,7 @@
                 self._pass(connection, channel)
         for word in self.exchange.hand_over():
             if word.call not in self._named:
-                channel.say(word)
+                channel.send(word)
             if word.kept:
                 self._named.add(word.call)
 
@@ -391,11 +391,11 @@
         )
 
         def relay(message: Message) -> bool:
-            return channel.say(
+            return channel.send(
                 Told(message.call, message.kind.value, message.cause, message.fields, message.description)
             )
 
-        channel.say(word, connection.move(relay))
+        channel.send(word, connection.move(relay))
 
     def settled(self) -> bool:
         """Whether all that was passed on has gone out."""
@@ -414,6 +414,6 @@
         if self._close_place():
             with contextlib.suppress(OSError):
                 self.path.unlink()
-        for channel in (self.forerunner, self.successor):
+        for channel in (self.predecessor, self.successor):
             if channel is not None:
                 channel.drop()
--- a/sageweir/net/jsonlines.py
+++ b/sageweir/net/jsonlines.py
@@ -73,7 +73,7 @@
     def __init__(self, max_bytes: int) -> None:
         self._max, self._rest, self._skipping = max_bytes, bytearray(), False
 
-    def greeting(self) -> bytes:
+    def opening(self) -> bytes:
         return b""
 
     def feed(self, data: bytes | memoryview) -> Iterator[Message | Fault]:
@@ -122,5 +122,5 @@
     def closed(self) -> bool:
         return False
 
-    def goodbye(self, reason: str = "") -> bytes:
+    def closing(self, reason: str = "") -> bytes:
         return b""
--- a/sageweir/net/websocket.py
+++ b/sageweir/net/websocket.py
@@ -154,7 +154,7 @@
 
     # Wire
 
-    def greeting(self) -> bytes:
+    def opening(self) -> bytes:
         if not self._client:
             return b""
         return (
@@ -210,7 +210,7 @@
     def closed(self) -> bool:
         return self.phase is Phase.CLOSED
 
-    def goodbye(self, reason: str = "") -> bytes:
+    def closing(self, reason: str = "") -> bytes:
         if self.phase is not Phase.OPEN:
             return b""
         self.phase = Phase.CLOSING
--- a/sageweir/net/wire.py
+++ b/sageweir/net/wire.py
@@ -13,7 +13,7 @@
 
     says_errors: bool  # whether it has a word for Kind.ERROR
 
-    def greeting(self) -> bytes:
+    def opening(self) -> bytes:
         """What this side sends before its first message."""
 
     def feed(self, data: bytes | memoryview) -> Iterator[Message | Fault]:
@@ -37,5 +37,5 @@
     def closed(self) -> bool:
         """Whether the wire's own close is complete, or the peer broke the wire's rules."""
 
-    def goodbye(self, reason: str = "") -> bytes:
+    def closing(self, reason: str = "") -> bytes:
         """What this side sends before it closes the connection."""
--- a/sageweir/pcap.py
+++ b/sageweir/pcap.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
+from sageweir.attempts import Caller
 from sageweir.clock import SetClock
-from sageweir.exchange import Caller, Exchange
+from sageweir.exchange import Exchange
 from sageweir.messages import Cause, Fault, Kind, Message
 from sageweir.net.callers import read_request
 from sageweir.net.jsonlines import JsonLines
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -40,7 +40,8 @@
 from sageweir.net.callers import CallerSide
 from sageweir.net.connection import Connection
 from sageweir.net.jsonlines import JsonLines
-from sageweir.net.servers import ServerLink, ServerSide
+from sageweir.net.server_link import ServerLink
+from sageweir.net.servers import ServerSide
 from sageweir.net.shutdown import Shutdown
 from sageweir.net.websocket import WebSocket
 from sageweir.net.wire import Wire
@@ -84,7 +85,7 @@
         """Close both halves, as a peer that goes away."""
         assert self.transport is not None
         self.home.closed = True
-        self.transport.write(self.wire.goodbye())
+        self.transport.write(self.wire.closing())
         if not self.transport.get_write_buffer_size():  # in this turn of the loop, not in the next
             self.transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
         self.transport.close()
@@ -110,7 +111,7 @@
 
     def received(self, message: Message) -> None:
         if message.kind is Kind.TEST:  # named by chance; a server that hears one passes it
-            self.say(Message(Kind.TESTED, message.call, cause=1))
+            self.send(Message(Kind.TESTED, message.call, cause=1))
         elif message.kind is not Kind.HEARD:  # free, and means nothing
             self.home.got.append((self.clock.now() - self.world.start, message))
             self.world.seen.append(Seen(self.clock.now(), self.home.name, id(self), Side.GOT, message))
@@ -121,8 +122,8 @@
     def faulty(self, fault: Fault) -> None:
         raise AssertionError(f"the controller sent no message: {fault}")
 
-    def say(self, message: Message) -> bool:
-        told = super().say(message)
+    def send(self, message: Message) -> bool:
+        told = super().send(message)
         if told:
             self.world.seen.append(Seen(self.clock.now(), self.home.name, id(self), Side.SAID, message))
         return told
@@ -276,7 +277,7 @@
             extras = f"dest:{fields.pop('dest', '0')};width:1;via:-1"
             fields = {"class": "plain", "left": "3000", "key": "n1", "extras": extras} | fields
         cause, text = int(fields.pop("cause", "0")), fields.pop("text", None)
-        home.peers[int(which) if which else -1].say(
+        home.peers[int(which) if which else -1].send(
             Message(WORDS[words[0]], words[1].lower() * 16, fields, cause, text)
         )
         await self.settle()
--- a/tests/test_any_settings.py
+++ b/tests/test_any_settings.py
@@ -20,8 +20,9 @@
 
 from dahliabridge import interface as api
 from dahliabridge.brain import Controller
+from sageweir.attempts import Attempt, AttemptResult, Presence, Request, State
 from sageweir.clock import SetClock
-from sageweir.exchange import Attempt, Ending, Exchange, Presence, Request, State
+from sageweir.exchange import Exchange
 from sageweir.limits import Limits
 from sageweir.messages import Cause
 
@@ -115,7 +116,7 @@
     def presence(self) -> Presence:
         return Presence.WAITS
 
-    def let_go(self, call: str) -> None: ...
+    def forget_call(self, call: str) -> None: ...
 
     def _final(self, call: str, how: str) -> bool:
         self.finals[call].append((self.clock.now(), how))
@@ -140,11 +141,11 @@
             self.found.append(f"{call} of {spec.name} goes to number {number}")
         self.out[call] = attempt
         least = min(c.aim_ms for c in self.drawn.classes)
-        fate = 0.0 if self.well else self.draw.random()
+        disposition = 0.0 if self.well else self.draw.random()
         took = least * (0.05 if self.well else self.draw.choice([0.05, 0.2, 2.0])) + 2 * self.way(number)
-        if fate < 0.6:
+        if disposition < 0.6:
             self.clock.after(took, lambda: self._answers(attempt))
-        elif fate < 0.85:
+        elif disposition < 0.85:
             outcome = self.draw.choice(
                 [
                     api.Outcome.RESET,
@@ -155,7 +156,7 @@
                 ]
             )
             report = {"reduce": self.draw.random()} if self.draw.random() < 0.3 else {}
-            self.clock.after(took, lambda: self._ends(attempt, Ending(outcome, report=report)))
+            self.clock.after(took, lambda: self._ends(attempt, AttemptResult(outcome, report=report)))
 
     def way(self, number: int) -> float:
         return self.ways[number % len(self.ways)]
@@ -164,13 +165,13 @@
         if attempt.state is State.OUT:
             self.core.answered(attempt, "x")
             hold = self.draw.uniform(10.0, 3000.0)
-            self.clock.after(hold, lambda: self.core.ended(attempt, Ending(api.Outcome.COMPLETED, Cause.NORMAL)))
+            self.clock.after(hold, lambda: self.core.ended(attempt, AttemptResult(api.Outcome.COMPLETED, Cause.NORMAL)))
 
-    def _ends(self, attempt: Attempt, ending: Ending) -> None:
+    def _ends(self, attempt: Attempt, result: AttemptResult) -> None:
         if attempt.state is State.OUT:
-            if ending.outcome is api.Outcome.RESET:
+            if result.outcome is api.Outcome.RESET:
                 self.ended[attempt.request.call] = self.clock.now()
-            self.core.ended(attempt, ending)
+            self.core.ended(attempt, result)
 
     def give_up(self, attempt: Attempt) -> None:
         self.ended[attempt.request.call] = self.clock.now()
@@ -322,7 +323,7 @@
     def presence(self) -> Presence:
         return Presence.WAITS
 
-    def let_go(self, call: str) -> None: ...
+    def forget_call(self, call: str) -> None: ...
 
     def give_up(self, attempt: Attempt) -> None: ...
 
@@ -331,7 +332,7 @@
         if attempt.server == "new":
             self.sends.append(self.clock.now())
         self.clock.after(5.0, lambda: core.answered(attempt, "x"))
-        self.clock.after(1000.0, lambda: core.ended(attempt, Ending(api.Outcome.COMPLETED, Cause.NORMAL)))
+        self.clock.after(1000.0, lambda: core.ended(attempt, AttemptResult(api.Outcome.COMPLETED, Cause.NORMAL)))
 
     def play(self, seconds: float, crowd: float = 0.0) -> None:
         """Calls come evenly drawn at all controllers. crowd: part of them that names the place of the new server."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -34,11 +34,11 @@
 
 
 def server_says(kind: Kind, cause: int = 0) -> Callable[[World], None]:
-    def say(world: World) -> None:
+    def send(world: World) -> None:
         if (peer := owner(world)) is not None:
-            peer.say(Message(kind, CALL, {}, cause, "sdp" if kind is Kind.ANSWER else None))
+            peer.send(Message(kind, CALL, {}, cause, "sdp" if kind is Kind.ANSWER else None))
 
-    return say
+    return send
 
 
 def server_breaks(whole_process: bool) -> Callable[[World], None]:
@@ -77,7 +77,7 @@
 
 
 def cancels(world: World) -> None:
-    caller(world).say(Message(Kind.RELEASE, CALL, cause=Cause.NORMAL))
+    caller(world).send(Message(Kind.RELEASE, CALL, cause=Cause.NORMAL))
 
 
 def drains(world: World) -> None:
@@ -161,7 +161,7 @@
         await world.wait(ROUND_MS, world.turn)
         for attempt in attempts_of(CALL, world.seen):
             if attempt.ended_at is None and (peer := owner(world)) is not None:
-                peer.say(Message(Kind.RELEASE, CALL, {}, Cause.NORMAL if attempt.answered else Cause.ERROR))
+                peer.send(Message(Kind.RELEASE, CALL, {}, Cause.NORMAL if attempt.answered else Cause.ERROR))
                 await world.turn()
     owed = await world.stop()
     if world.stand_ins["c"].closed:
--- a/tests/test_ends_property.py
+++ b/tests/test_ends_property.py
@@ -9,8 +9,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from dahliabridge import interface as api
+from sageweir.attempts import Attempt, AttemptResult, Clearance, Presence, Request, State
 from sageweir.clock import SetClock
-from sageweir.exchange import Attempt, Clearance, Ending, Exchange, Presence, Request, State
+from sageweir.exchange import Exchange
 from sageweir.limits import Limits
 from sageweir.messages import Cause
 from tests.driving import SETTINGS
@@ -50,7 +51,7 @@
     def presence(self) -> Presence:
         return self.seen
 
-    def let_go(self, call: str) -> None:
+    def forget_call(self, call: str) -> None:
         pass
 
 
@@ -152,14 +153,14 @@
     @rule(which=PICK, outcome=st.sampled_from(ENDS))
     def end(self, which: int, outcome: api.Outcome) -> None:
         if self.servers.open:
-            self.exchange.ended(self.servers.open.pop(which % len(self.servers.open)), Ending(outcome))
+            self.exchange.ended(self.servers.open.pop(which % len(self.servers.open)), AttemptResult(outcome))
 
     @rule(which=PICK, cut=st.booleans())
     def end_standing(self, which: int, cut: bool) -> None:
         if self.servers.standing:
             attempt = self.servers.standing.pop(which % len(self.servers.standing))
             outcome = api.Outcome.RESET if cut else api.Outcome.COMPLETED
-            self.exchange.ended(attempt, Ending(outcome, Cause.RESET if cut else Cause.NORMAL))
+            self.exchange.ended(attempt, AttemptResult(outcome, Cause.RESET if cut else Cause.NORMAL))
 
     @rule(dialing=st.booleans())
     def dial(self, dialing: bool) -> None:
@@ -192,7 +193,7 @@
         self.servers.dialing = False
         self.clock.advance(5000.0)
         for attempt in list(self.servers.open):
-            self.exchange.ended(attempt, Ending(api.Outcome.ERROR))
+            self.exchange.ended(attempt, AttemptResult(api.Outcome.ERROR))
         self.servers.open.clear()
         self.clock.advance(100.0)
         self.exchange.fail_unanswered()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -210,7 +210,7 @@
                     return found[0]
             self.kept.append(self.heard.get(timeout=30))
 
-    def say(self, word: str, name: str, line: socket.socket | None = None, **more: Any) -> None:
+    def send(self, word: str, name: str, line: socket.socket | None = None, **more: Any) -> None:
         message = {"msg": word, "sid": name * 16, "attrs": {}} | more
         for one in [line] if line else list(self.lines):  # those of a process that has just ended take nothing
             with suppress(OSError):
@@ -218,7 +218,7 @@
 
     def answer(self, name: str) -> socket.socket:
         line = self.hear("open", name)
-        self.say("ready", name, line, text="t")
+        self.send("ready", name, line, text="t")
         return line
 
 
@@ -296,7 +296,7 @@
         home.start()
         home.stop(0)
         assert caller.ready() == 1  # the old process would say no
-        server.say("close", "a", line, code=16)  # heard by the old process, which has calls to answer yet
+        server.send("close", "a", line, code=16)  # heard by the old process, which has calls to answer yet
         hear(caller, "close", "a")
         caller.say(msg="close", sid="b" * 16, attrs={}, code=16)
         assert server.hear("close", "b") is not line  # the caller's word reaches the server through the new one
@@ -305,11 +305,11 @@
         half.sock.sendall(whole[30:].encode() + b"\n")
         server.answer("f")
         hear(half, "ready", "f")
-        server.say("ready", "d", line, text="t")
+        server.send("ready", "d", line, text="t")
         hear(late, "ready", "d")
         assert home.ended(0)  # nothing is left to it
         for name, who in (("c", caller), ("d", late), ("f", half)):
-            server.say("close", name, code=16)
+            server.send("close", name, code=16)
             hear(who, "close", name)
 
 
@@ -348,7 +348,7 @@
             word, name = "", ""
             while word != "open":
                 line, word, name = home.server.heard.get(timeout=30)
-            home.server.say("ready", name, line, text="t")
+            home.server.send("ready", name, line, text="t")
         for name, one in zip("abcdef", [caller, *others], strict=True):
             hear(one, "ready", name)
 
@@ -391,7 +391,7 @@
             home.stop(which)
             assert home.ended(which)
         assert caller.ready() == 1
-        home.server.say("close", "a", code=16)
+        home.server.send("close", "a", code=16)
         hear(caller, "close", "a")
 
 
@@ -459,7 +459,7 @@
         peer.eof_received = lambda: True  # type: ignore[method-assign]  # it has something to say yet
         world.servers.end()
         await world.settle()
-        peer.say(Message(Kind.RELEASE, "a" * 16, cause=16))
+        peer.send(Message(Kind.RELEASE, "a" * 16, cause=16))
         await world.settle()
         assert told == [("a" * 16, 16, False)] and world.servers.connected()
         peer.end()
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -10,12 +10,15 @@
 import pytest
 
 from dahliabridge.brain import Controller
-from sageweir.exchange import Clearance, Exchange, Presence
+from sageweir.attempts import Clearance, Presence
+from sageweir.exchange import Exchange
 from sageweir.lifecycle import Lifecycle, Remaining
 from sageweir.net.acceptor import Acceptor
 from sageweir.net.callers import CallerConnection, CallerSide
 from sageweir.net.connection import Connection
-from sageweir.net.servers import ServerConnection, ServerLink, ServerSide
+from sageweir.net.server_connection import ServerConnection
+from sageweir.net.server_link import ServerLink
+from sageweir.net.servers import ServerSide
 from tests import scenario, test_rules
 from tests import test_obligations as obligations
 
@@ -32,7 +35,7 @@
 
 
 def finishes_in_the_segment(connection: CallerConnection, reason: str) -> None:
-    if not connection.leaving and not connection.parting:
+    if not connection.leaving and not connection.half_closed:
         connection.leaving = True
         connection.answer_all()
         connection.side.leaving(connection)
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -22,16 +22,19 @@
 import pytest
 
 from dahliabridge import interface as api
+from sageweir.attempts import Attempt, Request, State
 from sageweir.clock import SetClock
 from sageweir.config import Address, Listed
-from sageweir.exchange import Attempt, Exchange, Request, State
+from sageweir.exchange import Exchange
 from sageweir.lab.rig import free_ports
 from sageweir.lifecycle import Lifecycle
 from sageweir.limits import Limits
 from sageweir.messages import Cause, Kind, Message
 from sageweir.net.callers import CallerConnection, CallerSide
 from sageweir.net.jsonlines import JsonLines
-from sageweir.net.servers import ServerConnection, ServerLink, ServerSide
+from sageweir.net.server_connection import ServerConnection
+from sageweir.net.server_link import ServerLink
+from sageweir.net.servers import ServerSide
 from tests.driving import SETTINGS
 from tests.scenario import HOST, LIMITS, Side, World, hold_dials, wire
 from tests.test_program import EXAMPLE, ROOT, Ends, row
@@ -110,7 +113,7 @@
         await world.line("s0> release A cause=34")
         caller = world.stand_ins["c"].peers[-1]
         if says == "a cancel":
-            caller.say(Message(Kind.RELEASE, CALL, cause=Cause.NORMAL))
+            caller.send(Message(Kind.RELEASE, CALL, cause=Cause.NORMAL))
         else:
             caller.hang_up()
         world.clock.advance(25.0)  # no turn of the loop in between: the other server's turn is now
@@ -127,7 +130,7 @@
         transport = world.stand_ins["c"].peers[-1].transport
         assert transport is not None
         world.stand_ins["c"].peers[-1].deaf = True
-        transport.write(world.stand_ins["c"].peers[-1].wire.goodbye())  # and the TCP connection stays open
+        transport.write(world.stand_ins["c"].peers[-1].wire.closing())  # and the TCP connection stays open
         await world.settle()
         await world.line("s0< release A cause=16")
 
@@ -204,7 +207,7 @@
         await world.line("c> test A")
         await world.line("c< tested A")
         (connection,) = world.callers.connections
-        world.stand_ins["c"].peers[-1].say(
+        world.stand_ins["c"].peers[-1].send(
             Message(Kind.SET_UP, CALL, {"class": "plain", "left": "3000", "key": "n1", "extras": "dest:0"})
         )
         connection.finish("idle")  # in the same turn
@@ -276,7 +279,7 @@
         client = socket.create_connection((HOST, world.port))
         client.setblocking(False)
         side = wire(transport, True)
-        client.sendall(side.greeting())
+        client.sendall(side.opening())
         (acceptor,) = world.callers.listeners
         if accepted:
             acceptor._accept()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -22,11 +22,11 @@
 
 from dahliabridge import interface as api
 from sageweir.ask import main
+from sageweir.attempts import Attempt, AttemptResult, Request
 from sageweir.clock import SetClock
 from sageweir.config import Address, ConfigError, read
 from sageweir.counters import Settled
-from sageweir.exchange import Attempt, Ending, Request
-from sageweir.lifecycle import Fate, Lifecycle, Phase, Remaining, Use
+from sageweir.lifecycle import ConnectionUse, Disposition, Lifecycle, Phase, Remaining
 from sageweir.limits import Limits
 from sageweir.net.admin import AdminSide
 from sageweir.net.callers import CallerSide
@@ -34,8 +34,8 @@
 from tests.test_program import EXAMPLE, ROOT, Ends, exchange, free_port
 
 LIMITS = Limits()
-EMPTY = Use(0, False, True, 0.0)
-OWED = Use(1, False, True, 0.0)
+EMPTY = ConnectionUse(0, False, True, 0.0)
+OWED = ConnectionUse(1, False, True, 0.0)
 
 
 SCENARIOS = {
@@ -214,7 +214,7 @@
     @rule(which=st.integers(0, 50), outcome=st.sampled_from(list(api.Outcome)))
     def end(self, which: int, outcome: api.Outcome) -> None:
         if found := self.attempts():
-            self.core.ended(found[which % len(found)], Ending(outcome))
+            self.core.ended(found[which % len(found)], AttemptResult(outcome))
             self.clock.advance(0.0)
 
     @rule(which=st.integers(0, 50))
@@ -267,9 +267,9 @@
     def holds(self) -> None:
         assert self.life.ready() == (self.life.phase is Phase.READY)
         assert (self.life.phase is Phase.STOPPING) == self.stopped
-        assert self.life.fate(OWED, self.now) is not Fate.CLOSE
+        assert self.life.disposition(OWED, self.now) is not Disposition.CLOSE
         if self.life.ready():
-            assert self.life.fate(EMPTY, self.now) is Fate.KEEP
+            assert self.life.disposition(EMPTY, self.now) is Disposition.KEEP
         assert not self.life.over(self.now, Remaining(1, 0, 0, False))
 
 
@@ -277,41 +277,51 @@
 
 
 @pytest.mark.parametrize(
-    ("event", "at", "use", "fate"),
+    ("event", "at", "use", "disposition"),
     [
-        ("drain", 400, EMPTY, Fate.KEEP),  # the front has not asked yet, or sends what it had begun to
-        ("drain", 600, EMPTY, Fate.CLOSE),
-        ("drain", 600, OWED, Fate.LAST),
-        ("drain", 600, Use(0, True, True, 0.0), Fate.LAST),  # half a message
-        ("drain", 600, Use(0, False, False, 500.0), Fate.LAST),  # it has just come, and may still speak
-        ("drain", 900, Use(0, False, False, 500.0), Fate.CLOSE),
-        ("drain", 1900, OWED, Fate.SHUT),  # it never ran empty
-        ("upgrade", 0, EMPTY, Fate.CLOSE),
-        ("upgrade", 100, OWED, Fate.LAST),
-        ("upgrade", 900, OWED, Fate.SHUT),
-        ("drain", 600, Use(0, False, True, 0.0, 1), Fate.LAST),  # its end must find a way to the caller
-        ("upgrade", 100, Use(0, False, True, 0.0, 1), Fate.CLOSE),  # the other process is that way
-        ("stop", 5000, EMPTY, Fate.KEEP),
+        ("drain", 400, EMPTY, Disposition.KEEP),  # the front has not asked yet, or sends what it had begun to
+        ("drain", 600, EMPTY, Disposition.CLOSE),
+        ("drain", 600, OWED, Disposition.LAST),
+        ("drain", 600, ConnectionUse(0, True, True, 0.0), Disposition.LAST),  # half a message
+        (
+            "drain",
+            600,
+            ConnectionUse(0, False, False, 500.0),
+            Disposition.LAST,
+        ),  # it has just come, and may still speak
+        ("drain", 900, ConnectionUse(0, False, False, 500.0), Disposition.CLOSE),
+        ("drain", 1900, OWED, Disposition.SHUT),  # it never ran empty
+        ("upgrade", 0, EMPTY, Disposition.CLOSE),
+        ("upgrade", 100, OWED, Disposition.LAST),
+        ("upgrade", 900, OWED, Disposition.SHUT),
+        (
+            "drain",
+            600,
+            ConnectionUse(0, False, True, 0.0, 1),
+            Disposition.LAST,
+        ),  # its end must find a way to the caller
+        ("upgrade", 100, ConnectionUse(0, False, True, 0.0, 1), Disposition.CLOSE),  # the other process is that way
+        ("stop", 5000, EMPTY, Disposition.KEEP),
     ],
 )
-def test_what_a_connection_gets(event: str, at: float, use: Use, fate: Fate) -> None:
+def test_what_a_connection_gets(event: str, at: float, use: ConnectionUse, disposition: Disposition) -> None:
     life = Lifecycle(LIMITS)
     life.serving(0.0)
     if event == "drain":
         life.drain(0.0)
     else:
         life.stop(0.0, shared=event == "upgrade")
-    assert life.fate(use, at) is fate
+    assert life.disposition(use, at) is disposition
 
 
 def test_an_old_process_takes_what_it_can_answer_before_it_is_killed() -> None:
     life = Lifecycle(LIMITS)
     life.stop(0.0, shared=True)
-    assert life.takes(Fate.LAST, 9000.0, 100.0) and life.takes(Fate.SHUT, 1200.0, 2100.0)
-    assert not life.takes(Fate.SHUT, 1200.0, 2300.0)
+    assert life.takes(Disposition.LAST, 9000.0, 100.0) and life.takes(Disposition.SHUT, 1200.0, 2100.0)
+    assert not life.takes(Disposition.SHUT, 1200.0, 2300.0)
     life = Lifecycle(LIMITS)
     life.drain(0.0)
-    assert not life.takes(Fate.SHUT, 10.0, 1900.0)
+    assert not life.takes(Disposition.SHUT, 10.0, 1900.0)
 
 
 def test_a_process_that_stops_ends_no_call_that_another_goes_on_with() -> None:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sageweir.exchange import Request
+from sageweir.attempts import Request
 from sageweir.messages import Fault, Kind, Message
 from sageweir.net import callapi
 from sageweir.net import websocket as ws
@@ -156,7 +156,7 @@
     for accept, good in ((None, True), ("wrong", False)):
         client = ws.WebSocket(1000, 4096, "/calls", "a:1")
         server = ws.WebSocket(1000, 4096, "/calls")
-        list(server.feed(client.greeting()))
+        list(server.feed(client.opening()))
         answer = server.replies()
         if accept:
             answer = answer.replace(b"Accept: ", b"Accept: x")
@@ -223,7 +223,7 @@
     assert not list(wire.feed(ws.frame(ws.CLOSE, struct.pack("!H", 1000) + b"bye", KEY) + ws.frame(ws.TEXT, TEST, KEY)))
     assert wire.replies() == ws.frame(ws.CLOSE, struct.pack("!H", 1000)) and wire.closed()
     wire = opened()
-    assert wire.goodbye("stops")[2:4] == struct.pack("!H", 1001) and not wire.ready()
+    assert wire.closing("stops")[2:4] == struct.pack("!H", 1001) and not wire.ready()
     assert not list(wire.feed(ws.frame(ws.TEXT, TEST, KEY))) and not wire.closed()  # nothing counts any more
     assert not list(wire.feed(ws.frame(ws.CLOSE, b"", KEY))) and wire.closed() and not wire.replies()
 
--- a/tests/test_pcap.py
+++ b/tests/test_pcap.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sageweir import pcap
-from sageweir.exchange import Attempt
+from sageweir.attempts import Attempt
 from sageweir.messages import Fault, Kind, Message
 from tests.test_program import Ends, exchange
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -21,9 +21,10 @@
 
 from dahliabridge import interface as api
 from dahliabridge.brain import Controller
+from sageweir.attempts import Attempt, AttemptResult, Presence, Request
 from sageweir.clock import SetClock
 from sageweir.config import Address, Config, ConfigError, ListEvent, read, read_front
-from sageweir.exchange import Attempt, Ending, Exchange, Presence, Request
+from sageweir.exchange import Exchange
 from sageweir.lab.rig import free_ports
 from sageweir.limits import Limits
 from sageweir.messages import Message
@@ -283,7 +284,7 @@
     def presence(self) -> Presence:
         return Presence.WAITS
 
-    def let_go(self, call: str) -> None:
+    def forget_call(self, call: str) -> None:
         pass
 
 
@@ -369,7 +370,7 @@
     assert [told[0] for told in ends.told] == ["send"]  # one live attempt
     attempt = ends.told[0][1]
     assert isinstance(attempt, Attempt)
-    core.ended(attempt, Ending(api.Outcome.RESET))
+    core.ended(attempt, AttemptResult(api.Outcome.RESET))
     clock.advance(400.0)
     assert [told[0] for told in ends.told] == ["send"]  # and none within the guard
 
