--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -37,7 +37,7 @@
 from sageweir.net.servers import ServerSide
 from tests.driving import SETTINGS
 from tests.scenario import HOST, LIMITS, Side, World, hold_dials, wire
-from tests.test_program import EXAMPLE, ROOT, Ends, row
+from tests.test_program import EXAMPLE, ROOT, Ends, Road, row
 
 CALL = "a" * 16
 TRANSPORTS = pytest.mark.parametrize("transport", ["lines", "websocket"])
@@ -559,33 +559,12 @@
         assert all(set(table) == set(exchange.controller.classes) for table in exchange.counters.settled.values())
 
 
-class Recorder:
+class Recorder(Road):
     """The way to servers, for exchanges without any."""
 
-    def __init__(self, ends: Ends) -> None:
-        self.told = ends.told
-
     def send(self, attempt: Attempt) -> None:
         attempt.written = True
-        self.told.append(("send", attempt))
-
-    def give_up(self, attempt: Attempt) -> None:
-        self.told.append(("give up", attempt.request.call))
-
-    def release(self, attempt: Attempt, cause: int) -> None:
-        self.told.append(("release", attempt.request.call))
-
-    def forget(self, attempt: Attempt) -> bool:
-        return True
-
-    def drop(self, attempt: Attempt) -> None:
-        pass
-
-    def adopt(self, attempt: Attempt) -> bool:
-        return True
-
-    def test(self, server: str, done: Callable[[bool], None]) -> None:
-        done(False)
+        super().send(attempt)
 
 
 # Descriptors
