Mutants, not planted faults, throughout the laboratory and its tests

Need: the standard name for a small fault that a test has to find (issue "Code that a newcomer can read").

Nothing that run loads has changed.

--- a/sageweir/lab/commands.py
+++ b/sageweir/lab/commands.py
@@ -268,7 +268,7 @@
     )
     @_json
     def shards(every: int, seeds: int, numbers: int, workers: int, json_path: Path | None) -> None:
-        """A shard that splits: faults at points, dual reads, planted faults, and one with many numbers."""
+        """A shard that splits: faults at points, dual reads, mutants, and one with many numbers."""
         from sageweir.lab.shards import shards as run
 
         _finish(run(every, seeds, numbers, workers), json_path, None, "", 0.0)
