--- a/sageweir/cluster/changes/document.py
+++ b/sageweir/cluster/changes/document.py
@@ -24,7 +24,7 @@
 GUARD_MOST = 60_000.0
 
 
-class Refused(ValueError):
+class RefusedError(ValueError):
     """A document that can't be taken; the text names the key."""
 
 
@@ -34,17 +34,17 @@
 
 
 def read_rules(data: bytes, settings: api.Settings, version: int) -> api.Rules:
-    """Check a document against schema, settings and rules. Raises Refused."""
+    """Check a document against schema, settings and rules. Raises RefusedError."""
     if len(data) > DOCUMENT_BYTES:
-        raise Refused(f"it has {len(data)} bytes, over {DOCUMENT_BYTES}")
+        raise RefusedError(f"it has {len(data)} bytes, over {DOCUMENT_BYTES}")
     try:
         raw = orjson.loads(data)
     except orjson.JSONDecodeError as error:
-        raise Refused(f"not JSON: {error}") from None
+        raise RefusedError(f"not JSON: {error}") from None
     if not isinstance(raw, dict):
-        raise Refused("must be an object")
+        raise RefusedError("must be an object")
     if unknown := sorted(raw.keys() - KEYS):
-        raise Refused(f"{unknown[0]}: unknown key")
+        raise RefusedError(f"{unknown[0]}: unknown key")
     usual = Version(settings).rules
     classes = _rows(raw, "classes", {c.name for c in settings.classes}, frozenset({"target_part", "rank"}))
     tenants = _rows(raw, "tenants", {t.name for t in settings.tenants}, frozenset({"rank"}))
@@ -61,7 +61,7 @@
 
     attempts = _number(raw, "attempts", "", usual.attempts, 1, settings.max_attempts)
     if attempts != int(attempts):
-        raise Refused(f"attempts: must be a whole number, got {attempts:g}")
+        raise RefusedError(f"attempts: must be a whole number, got {attempts:g}")
     return api.Rules(
         version,
         tuple(
@@ -80,23 +80,23 @@
 def _rows(raw: Mapping[str, Any], key: str, known: set[str], inside: frozenset[str]) -> Mapping[str, Mapping[str, Any]]:
     found = raw.get(key, {})
     if not isinstance(found, dict):
-        raise Refused(f"{key}: must be an object")
+        raise RefusedError(f"{key}: must be an object")
     for name, row in found.items():
         if name not in known:
-            raise Refused(f"{key}.{name}: the settings name no such {'class' if key == 'classes' else 'tenant'}")
+            raise RefusedError(f"{key}.{name}: the settings name no such {'class' if key == 'classes' else 'tenant'}")
         if not isinstance(row, dict):
-            raise Refused(f"{key}.{name}: must be an object")
+            raise RefusedError(f"{key}.{name}: must be an object")
         if unknown := sorted(row.keys() - inside):
-            raise Refused(f"{key}.{name}.{unknown[0]}: unknown key")
+            raise RefusedError(f"{key}.{name}.{unknown[0]}: unknown key")
     return found
 
 
 def _number(raw: Mapping[str, Any], key: str, where: str, default: float, least: float, most: float) -> float:
     value = raw.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise Refused(f"{where}{key}: must be a number, got {value!r:.60}")
+        raise RefusedError(f"{where}{key}: must be a number, got {value!r:.60}")
     if not least <= value <= most:
-        raise Refused(f"{where}{key}: must be {least:g} to {most:g}, got {value:g}")
+        raise RefusedError(f"{where}{key}: must be {least:g} to {most:g}, got {value:g}")
     return float(value)
 
 
--- a/sageweir/cluster/changes/program.py
+++ b/sageweir/cluster/changes/program.py
@@ -20,7 +20,7 @@
 KEYS = frozenset({"program", "replaces", "note"})
 
 
-class Refused(ValueError):
+class RefusedError(ValueError):
     """A document that can't be taken; the text names the key."""
 
 
@@ -33,21 +33,21 @@
 
 
 def read_program(data: bytes) -> Document:
-    """Check a document. Raises Refused."""
+    """Check a document. Raises RefusedError."""
     try:
         raw = orjson.loads(data)
     except orjson.JSONDecodeError as error:
-        raise Refused(f"not JSON: {error}") from None
+        raise RefusedError(f"not JSON: {error}") from None
     if not isinstance(raw, dict):
-        raise Refused("must be an object")
+        raise RefusedError("must be an object")
     if unknown := sorted(raw.keys() - KEYS):
-        raise Refused(f"{unknown[0]}: unknown key")
+        raise RefusedError(f"{unknown[0]}: unknown key")
     for key in ("program", "replaces"):
         value = raw.get(key)
         if not isinstance(value, str) or not 1 <= len(value) <= CHARS or not value.isascii():
-            raise Refused(f"{key}: must be 1 to {CHARS} ASCII characters, got {value!r:.80}")
+            raise RefusedError(f"{key}: must be 1 to {CHARS} ASCII characters, got {value!r:.80}")
     if raw["program"] == raw["replaces"]:
-        raise Refused("replaces: is the same as `program`")
+        raise RefusedError("replaces: is the same as `program`")
     return Document(raw["program"], raw["replaces"])
 
 
--- a/sageweir/cluster/changes/service.py
+++ b/sageweir/cluster/changes/service.py
@@ -25,7 +25,7 @@
 from sageweir.cluster import points
 from sageweir.cluster.changes import program
 from sageweir.cluster.changes.disk import Blob, Disk, Kept2, Known2, Record
-from sageweir.cluster.changes.document import DOCUMENT_BYTES, Refused, digest, read_rules
+from sageweir.cluster.changes.document import DOCUMENT_BYTES, RefusedError, digest, read_rules
 from sageweir.cluster.changes.engine import OVER, Engine, Terms
 from sageweir.cluster.changes.follower import DISK, Act, Apply, Fetch, Follower, Keep
 from sageweir.cluster.changes.forms import OWN
@@ -142,14 +142,14 @@
     def check(self, data: bytes) -> str:
         try:
             self.turn.known[digest(data)] = read_program(data)
-        except program.Refused as error:
+        except program.RefusedError as error:
             return str(error)
         return ""
 
     def apply(self, act: Apply, data: bytes) -> None:
         try:
             document = read_program(data) if data else None
-        except program.Refused as error:
+        except program.RefusedError as error:
             log.error("a document of a program is not in force: change=%d why=%s", act.number, error)
             return
         self.turn.took_up(act.number, document, act.unproven)
@@ -585,7 +585,7 @@
             return other.name, other.check(data)
         try:
             read_rules(data, self._settings, 0)
-        except Refused as error:
+        except RefusedError as error:
             return RULES, str(error)
         return RULES, ""
 
@@ -630,7 +630,7 @@
         else:
             try:
                 rules = read_rules(self.disk.blobs.get(act.digest, b""), self._settings, act.number)
-            except Refused as error:
+            except RefusedError as error:
                 log.error("rules are not in force, the program's own are: change=%d why=%s", act.number, error)
                 rules = self._own
         kind = self.fleet.point("apply")
--- a/sageweir/cluster/duties/service.py
+++ b/sageweir/cluster/duties/service.py
@@ -47,7 +47,7 @@
 from sageweir.cluster.duties.store import Kept, Store
 from sageweir.cluster.duties.wire import decode_letter, encode_letter
 from sageweir.cluster.points import Point, no_point, passed, refused_write, send
-from sageweir.cluster.wire import Unreadable
+from sageweir.cluster.wire import UnreadableError
 from sageweir.config import ClusterConfig, ConfigError, read_address
 from sageweir.limits import Limits
 
@@ -365,7 +365,7 @@
             return
         try:
             letter = decode_letter(data)
-        except Unreadable as error:
+        except UnreadableError as error:
             self.unreadable += 1
             log.warning("a letter was dropped: from=%s:%s why=%s", sender[0], sender[1], error)
             return
--- a/sageweir/cluster/duties/wire.py
+++ b/sageweir/cluster/duties/wire.py
@@ -6,7 +6,7 @@
 
 from sageweir.cluster.duties.messages import Letter
 from sageweir.cluster.messages import DATAGRAM_BYTES
-from sageweir.cluster.wire import Unreadable
+from sageweir.cluster.wire import UnreadableError
 
 HEAD = b"SD\x01"  # and the form's version
 _encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Letter)
@@ -21,10 +21,10 @@
 
 
 def decode_letter(data: bytes) -> Letter:
-    """Raises Unreadable."""
+    """Raises UnreadableError."""
     if len(data) > DATAGRAM_BYTES or not data.startswith(HEAD):
-        raise Unreadable("another form, or too long")
+        raise UnreadableError("another form, or too long")
     try:
         return _decoder.decode(memoryview(data)[len(HEAD) :])
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise Unreadable(str(error)[:120]) from None
+        raise UnreadableError(str(error)[:120]) from None
--- a/sageweir/cluster/ledger/service.py
+++ b/sageweir/cluster/ledger/service.py
@@ -39,7 +39,7 @@
 from sageweir.cluster.ledger.owner import Shelf
 from sageweir.cluster.ledger.reading import Compared, DualRead, Out, Reading, asked_of, holding
 from sageweir.cluster.ledger.sender import Sender
-from sageweir.cluster.ledger.shards import Refused, ShardMap, groups, read_map, whole
+from sageweir.cluster.ledger.shards import RefusedError, ShardMap, groups, read_map, whole
 from sageweir.cluster.ledger.watch import Watch
 from sageweir.cluster.member import Fleet
 from sageweir.config import ChangesConfig, ClusterConfig
@@ -100,14 +100,14 @@
     def check(self, data: bytes) -> str:
         try:
             read_map(data)
-        except Refused as error:
+        except RefusedError as error:
             return str(error)
         return ""
 
     def apply(self, act: Apply, data: bytes) -> None:
         try:
             shards = read_map(data) if data else self.own
-        except Refused as error:
+        except RefusedError as error:
             log.error("a map of shards is not in force: change=%d why=%s", act.number, error)
             return
         kind = self.fleet.point("cut-over" if not act.unproven else "take a map up")
--- a/sageweir/cluster/ledger/shards.py
+++ b/sageweir/cluster/ledger/shards.py
@@ -15,7 +15,7 @@
 KEYS = frozenset({"shards", "dual", "note"})
 
 
-class Refused(ValueError):
+class RefusedError(ValueError):
     """A map that can't be taken; the text names the key."""
 
 
@@ -58,7 +58,7 @@
 
 
 def split(old: ShardMap, at: int, owners: tuple[str, ...]) -> ShardMap:
-    """The shard over `at` in two; the upper half goes to these owners. Raises Refused."""
+    """The shard over `at` in two; the upper half goes to these owners. Raises RefusedError."""
     shards: list[Shard] = []
     for shard in old.shards:
         if shard.first < at < shard.last:
@@ -66,46 +66,46 @@
         else:
             shards.append(shard)
     if len(shards) == len(old.shards):
-        raise Refused(f"first: {at} is a boundary already, or out of range")
+        raise RefusedError(f"first: {at} is a boundary already, or out of range")
     return ShardMap(tuple(shards), old.dual)
 
 
 def read_map(data: bytes, members: Collection[str] | None = None) -> ShardMap:
-    """Check a document. members: names that may be owners, where they are known. Raises Refused."""
+    """Check a document. members: names that may be owners, where they are known. Raises RefusedError."""
     if len(data) > DOCUMENT_BYTES:
-        raise Refused(f"it has {len(data)} bytes, over {DOCUMENT_BYTES}")
+        raise RefusedError(f"it has {len(data)} bytes, over {DOCUMENT_BYTES}")
     try:
         raw = orjson.loads(data)
     except orjson.JSONDecodeError as error:
-        raise Refused(f"not JSON: {error}") from None
+        raise RefusedError(f"not JSON: {error}") from None
     if not isinstance(raw, dict) or not isinstance(raw.get("shards"), list):
-        raise Refused("shards: must be a list")
+        raise RefusedError("shards: must be a list")
     if unknown := sorted(raw.keys() - KEYS):
-        raise Refused(f"{unknown[0]}: unknown key")
+        raise RefusedError(f"{unknown[0]}: unknown key")
     dual = raw.get("dual", 0.1)
     if isinstance(dual, bool) or not isinstance(dual, (int, float)) or not 0 <= dual <= 1:
-        raise Refused(f"dual: must be 0 to 1, got {dual!r:.40}")
+        raise RefusedError(f"dual: must be 0 to 1, got {dual!r:.40}")
     rows = raw["shards"]
     if not 1 <= len(rows) <= SHARDS_MAX:
-        raise Refused(f"shards: must be 1 to {SHARDS_MAX}, got {len(rows)}")
+        raise RefusedError(f"shards: must be 1 to {SHARDS_MAX}, got {len(rows)}")
     firsts: list[int] = []
     owners: list[tuple[str, ...]] = []
     for i, row in enumerate(rows):
         at = f"shards[{i}]"
         if not isinstance(row, dict) or row.keys() != {"first", "owners"}:
-            raise Refused(f"{at}: must have `first` and `owners`, and nothing else")
+            raise RefusedError(f"{at}: must have `first` and `owners`, and nothing else")
         first, names = row["first"], row["owners"]
         if isinstance(first, bool) or not isinstance(first, int) or not 0 <= first < SPACE:
-            raise Refused(f"{at}.first: must be 0 to {SPACE - 1}, got {first!r:.40}")
+            raise RefusedError(f"{at}.first: must be 0 to {SPACE - 1}, got {first!r:.40}")
         if first != 0 if not firsts else first <= firsts[-1]:
-            raise Refused(f"{at}.first: the first must be 0 and each greater than the last, got {first}")
+            raise RefusedError(f"{at}.first: the first must be 0 and each greater than the last, got {first}")
         if not isinstance(names, list) or not 1 <= len(names) <= OWNERS_MAX or len(set(map(str, names))) < len(names):
-            raise Refused(f"{at}.owners: must be 1 to {OWNERS_MAX} names, each once")
+            raise RefusedError(f"{at}.owners: must be 1 to {OWNERS_MAX} names, each once")
         for name in names:
             if not isinstance(name, str) or not 1 <= len(name) <= 64 or not name.isascii():
-                raise Refused(f"{at}.owners: {name!r:.40} is no name")
+                raise RefusedError(f"{at}.owners: {name!r:.40} is no name")
             if members is not None and name not in members:
-                raise Refused(f"{at}.owners: {name} is no living member")
+                raise RefusedError(f"{at}.owners: {name} is no living member")
         firsts.append(first)
         owners.append(tuple(names))
     lasts = [*firsts[1:], SPACE]
--- a/sageweir/cluster/link.py
+++ b/sageweir/cluster/link.py
@@ -12,7 +12,7 @@
 from typing import cast
 
 from sageweir.cluster.messages import Full, Packet
-from sageweir.cluster.wire import FULL_BYTES, Unreadable, decode_full, decode_packet, encode_full, encode_packet
+from sageweir.cluster.wire import FULL_BYTES, UnreadableError, decode_full, decode_packet, encode_full, encode_packet
 from sageweir.config import Address
 from sageweir.limits import Limits
 
@@ -85,7 +85,7 @@
             return
         try:
             packet = decode_packet(data)
-        except Unreadable as error:
+        except UnreadableError as error:
             self.unreadable += 1
             log.warning("a datagram was dropped: from=%s:%s why=%s", addr[0], addr[1], error)
             return
@@ -114,7 +114,7 @@
                 await reader.read(1)  # the other closes first
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
-        except Unreadable as error:
+        except UnreadableError as error:
             self.unreadable += 1
             log.warning("an exchange was dropped: from=%s why=%s", writer.get_extra_info("peername"), error)
         finally:
@@ -124,7 +124,7 @@
     async def _read(self, reader: asyncio.StreamReader) -> bytes:
         size = int.from_bytes(await reader.readexactly(4), "big")
         if size > FULL_BYTES:
-            raise Unreadable(f"{size} bytes, over {FULL_BYTES}")
+            raise UnreadableError(f"{size} bytes, over {FULL_BYTES}")
         return await reader.readexactly(size)
 
     def _write(self, writer: asyncio.StreamWriter, full: Full) -> None:
@@ -156,7 +156,7 @@
             got(answer)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             log.debug("no exchange with %s:%d: %s", host, port, error)
-        except Unreadable as error:
+        except UnreadableError as error:
             self.unreadable += 1
             log.warning("an exchange was dropped: from=%s:%d why=%s", host, port, error)
         finally:
--- a/sageweir/cluster/wire.py
+++ b/sageweir/cluster/wire.py
@@ -16,7 +16,7 @@
 _packets, _fulls = msgspec.msgpack.Decoder(Packet), msgspec.msgpack.Decoder(Full)
 
 
-class Unreadable(ValueError):
+class UnreadableError(ValueError):
     """Bytes that are no message of this form; the text says why."""
 
 
@@ -26,9 +26,9 @@
 
 
 def decode_packet(data: bytes) -> Packet:
-    """Raises Unreadable."""
+    """Raises UnreadableError."""
     if len(data) > DATAGRAM_BYTES:
-        raise Unreadable(f"{len(data)} bytes, over {DATAGRAM_BYTES}")
+        raise UnreadableError(f"{len(data)} bytes, over {DATAGRAM_BYTES}")
     return _decode(_packets, data)
 
 
@@ -38,14 +38,14 @@
 
 
 def decode_full(data: bytes) -> Full:
-    """Raises Unreadable."""
+    """Raises UnreadableError."""
     return _decode(_fulls, data)
 
 
 def _decode(decoder: msgspec.msgpack.Decoder[T], data: bytes) -> T:
     if not data.startswith(HEAD):
-        raise Unreadable("another form, or none")
+        raise UnreadableError("another form, or none")
     try:
         return decoder.decode(memoryview(data)[len(HEAD) :])
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise Unreadable(str(error)[:120]) from None
+        raise UnreadableError(str(error)[:120]) from None
--- a/sageweir/control/encoding.py
+++ b/sageweir/control/encoding.py
@@ -23,7 +23,7 @@
 from google.protobuf.message import DecodeError
 
 from sageweir.control.snapshot import CLUSTER, ENDPOINT, LISTENER, PREFIX, ROUTE, Resource
-from sageweir.control.subscriptions import Ask, Response, StreamFault
+from sageweir.control.subscriptions import Ask, Response, StreamError
 
 MESSAGES: Mapping[str, Any] = {
     LISTENER: listener_pb2.Listener,
@@ -67,12 +67,12 @@
 
 
 def read_sotw(data: bytes) -> Ask:
-    """A DiscoveryRequest. Raises StreamFault where it is none."""
+    """A DiscoveryRequest. Raises StreamError where it is none."""
     request = discovery_pb2.DiscoveryRequest()
     try:
         request.ParseFromString(data)
     except DecodeError:
-        raise StreamFault("not a DiscoveryRequest") from None
+        raise StreamError("not a DiscoveryRequest") from None
     return Ask(
         request.type_url,
         request.node.id,
@@ -85,12 +85,12 @@
 
 
 def read_delta(data: bytes) -> Ask:
-    """A DeltaDiscoveryRequest. Raises StreamFault where it is none."""
+    """A DeltaDiscoveryRequest. Raises StreamError where it is none."""
     request = discovery_pb2.DeltaDiscoveryRequest()
     try:
         request.ParseFromString(data)
     except DecodeError:
-        raise StreamFault("not a DeltaDiscoveryRequest") from None
+        raise StreamError("not a DeltaDiscoveryRequest") from None
     return Ask(
         request.type_url,
         request.node.id,
--- a/sageweir/control/grpc_front.py
+++ b/sageweir/control/grpc_front.py
@@ -16,7 +16,7 @@
 from sageweir.control.encoding import IN_SOTW, TTL, Encoder, read_delta, read_sotw
 from sageweir.control.service import ControlService
 from sageweir.control.snapshot import ENDPOINT
-from sageweir.control.subscriptions import Ask, DeltaStream, SotwStream, Stream, StreamFault
+from sageweir.control.subscriptions import Ask, DeltaStream, SotwStream, Stream, StreamError
 
 log = logging.getLogger("sageweir.xds")
 
@@ -88,9 +88,9 @@
         while data is not grpc.aio.EOF:
             try:
                 if len(data) > limits.xds_request_bytes:
-                    raise StreamFault(f"a request of {len(data)} bytes, {limits.xds_request_bytes} are taken", True)
+                    raise StreamError(f"a request of {len(data)} bytes, {limits.xds_request_bytes} are taken", True)
                 self._take(read_delta(data) if self.delta else read_sotw(data))
-            except StreamFault as error:
+            except StreamError as error:
                 code = grpc.StatusCode.RESOURCE_EXHAUSTED if error.exhausted else grpc.StatusCode.INVALID_ARGUMENT
                 return self.close(code, str(error))
             data = await self.context.read()
@@ -102,7 +102,7 @@
         if not self.node:
             self.node = self.stream.node
             if not self.front.name(self):
-                raise StreamFault(f"{self.node} has too many streams", True)
+                raise StreamError(f"{self.node} has too many streams", True)
         if refused is not None:
             self.front.refusals += 1
             log.warning(
--- a/sageweir/control/subscriptions.py
+++ b/sageweir/control/subscriptions.py
@@ -26,7 +26,7 @@
 WILDCARD = "*"
 
 
-class StreamFault(ValueError):
+class StreamError(ValueError):
     """The stream asked for what can't be; it is closed with this text. `exhausted`: a bound was passed."""
 
     def __init__(self, text: str, exhausted: bool = False) -> None:
@@ -131,18 +131,18 @@
     # Asking
 
     def ask(self, ask: Ask, snapshot: Snapshot) -> Refused | None:
-        """Take a request; a refusal is told for the log. Raises StreamFault where the stream must end."""
+        """Take a request; a refusal is told for the log. Raises StreamError where the stream must end."""
         if not self.node:
             if not ask.node:
-                raise StreamFault("the first request names no node.id")
+                raise StreamError("the first request names no node.id")
             if len(ask.node) > self.limits.xds_node_chars:
-                raise StreamFault(f"node.id has {len(ask.node)} characters, {self.limits.xds_node_chars} are taken")
+                raise StreamError(f"node.id has {len(ask.node)} characters, {self.limits.xds_node_chars} are taken")
             self.node, self.features = ask.node, ask.features
         if ask.type_url not in ORDER:
-            raise StreamFault(f"unknown type URL {ask.type_url[:100]!r}")
+            raise StreamError(f"unknown type URL {ask.type_url[:100]!r}")
         given = (*ask.names, *ask.subscribe, *ask.held)
         if any(len(name) > self.limits.xds_name_chars for name in given):
-            raise StreamFault(f"a resource name is longer than {self.limits.xds_name_chars} characters", True)
+            raise StreamError(f"a resource name is longer than {self.limits.xds_name_chars} characters", True)
         books = self.types.get(ask.type_url)
         first = books is None
         books = books or _Type()
@@ -156,10 +156,10 @@
             if flight is not None:
                 refused = self._confirm(books, ask, flight)
         if len(given) + len(ask.unsubscribe) > 2 * self.limits.xds_names:
-            raise StreamFault(f"one request gives {len(given)} names", True)
+            raise StreamError(f"one request gives {len(given)} names", True)
         self._subscribe(books, ask, snapshot, first)
         if len(books.names) > self.limits.xds_names:
-            raise StreamFault(f"{len(books.names)} names are asked for, {self.limits.xds_names} are served", True)
+            raise StreamError(f"{len(books.names)} names are asked for, {self.limits.xds_names} are served", True)
         self.types[ask.type_url] = books
         return refused
 
--- a/sageweir/lab/changefleet.py
+++ b/sageweir/lab/changefleet.py
@@ -12,7 +12,7 @@
 from sageweir.cluster.ledger.shards import SPACE, ShardMap, split, whole, write_map
 from sageweir.lab.duties import plays
 from sageweir.lab.dutysim import draw_faults
-from sageweir.lab.faults.rig import FleetRig, Missed
+from sageweir.lab.faults.rig import FleetRig, MissedError
 from sageweir.lab.faults.script import Fault, last_end
 from sageweir.lab.load import Load
 from sageweir.lab.points import ELECTORS, FLEET, PERIODS, QUICK, all_have, propose, ready, settled, write
@@ -44,7 +44,7 @@
     """Operators propose rules and maps at members by chance, again and again; how many were taken."""
     taken = 0
     while True:
-        with contextlib.suppress(Missed, StopIteration, OSError, TimeoutError):
+        with contextlib.suppress(MissedError, StopIteration, OSError, TimeoutError):
             if draw.random() < 0.6:
                 path, kind = write(rig, "rules.json", cold_part=round(draw.uniform(0.1, 0.8), 6)), "rules"
             else:
@@ -57,7 +57,7 @@
 
 
 async def real(seed: int) -> dict[str, Any]:
-    """One script; then the latest change ends, and another is done. Raises Missed."""
+    """One script; then the latest change ends, and another is done. Raises MissedError."""
     script, draw = script_for(seed), Random(seed)
     async with (
         Load() as load,
@@ -79,10 +79,10 @@
         rig.check()
         twice = [sid for sid, words in load.seen.words.items() if sum(word != "over" for word in words) > 1]
         if twice:
-            raise Missed(f"calls that were answered twice: {twice[:3]}")
+            raise MissedError(f"calls that were answered twice: {twice[:3]}")
         rows = [row for rows in rig.duty_audits() for row in rows]
         if odd := [row for row in rows if row["do"] == "disagreed"]:
-            raise Missed(f"dual reads disagree: {odd[:2]}")
+            raise MissedError(f"dual reads disagree: {odd[:2]}")
         books = {(row["number"], row["phase"]) for row in rows if row["do"] == "book"}
         return {
             "faults": len(script) - len(NAMES),
--- a/sageweir/lab/duties.py
+++ b/sageweir/lab/duties.py
@@ -15,7 +15,7 @@
 from sageweir.lab.dutycheck import Scope, explore
 from sageweir.lab.dutysim import WAY_MS, DutySimulator, draw_faults, play_duties
 from sageweir.lab.dutyworth import cold_start, silent
-from sageweir.lab.faults.rig import FleetRig, Missed
+from sageweir.lab.faults.rig import FleetRig, MissedError
 from sageweir.lab.faults.script import Fault, dump, last_end
 from sageweir.lab.report import Report, percentile, spread
 
@@ -137,7 +137,7 @@
             seed = next(numbers)
             try:
                 found.append(await real(seed))
-            except Missed as error:
+            except MissedError as error:
                 wrong.append(f"seed {seed}: {error}\n{dump(script_for(seed))}")
 
     await asyncio.gather(*(one() for _ in range(at_once)))
--- a/sageweir/lab/dutycheck.py
+++ b/sageweir/lab/dutycheck.py
@@ -72,7 +72,7 @@
 Step = tuple[tuple[Any, ...], State]
 
 
-class Violation(Exception):
+class ViolationError(Exception):
     """A rule was broken by a step."""
 
 
@@ -447,7 +447,7 @@
             a, b, c = (self.told(one, who, over, words, left > 0) for one in (a, b, c))
         if new[1] == Stage.HOLDING.value and old[1] == Stage.ASKING.value:
             if new[2] <= highest:
-                raise Violation(f"{who} holds term {new[2]} after {highest} was held")
+                raise ViolationError(f"{who} holds term {new[2]} after {highest} was held")
             highest = new[2]
         x, y = (seeker, y) if k == 0 else (x, seeker)
         said: Hands = self.hands.things[hands]
@@ -524,6 +524,6 @@
                         return Found(len(known), steps, False, wrong, trace(state, what))
                     hope = held_first and after[8] and after[6] < scope.elector_crashes
                     (hopeful if hope else waiting).append(after)
-        except Violation as error:
+        except ViolationError as error:
             return Found(len(known), steps, False, str(error), trace(state, what))
     return Found(len(known), steps, True)
--- a/sageweir/lab/faults/rig.py
+++ b/sageweir/lab/faults/rig.py
@@ -38,7 +38,7 @@
 PERIOD_MS = 250.0
 
 
-class Missed(AssertionError):
+class MissedError(AssertionError):
     """Something that had to come true did not, or a rule was broken; the text holds the fault script."""
 
 
@@ -233,12 +233,12 @@
             )
         for _ in range(600):
             if place.process.returncode is not None:
-                raise Missed(f"{place.name} ended at its start: {self.log(place)[-2000:]}")
+                raise MissedError(f"{place.name} ended at its start: {self.log(place)[-2000:]}")
             with contextlib.suppress(OSError):
                 if (await self.ask(place, "ready")).startswith("SUCCESS"):
                     return
             await asyncio.sleep(0.05)
-        raise Missed(f"{place.name} is not ready after 30 s: {self.log(place)[-2000:]}")
+        raise MissedError(f"{place.name} is not ready after 30 s: {self.log(place)[-2000:]}")
 
     async def upgrade(self, place: Place) -> None:
         """A new version beside the old one, which is stopped as soon as the new one says yes."""
@@ -297,17 +297,17 @@
         return list(by_boot.values())
 
     def check(self, liars: frozenset[int] = frozenset()) -> None:
-        """Safety, strictly, on all audits. Raises Missed."""
+        """Safety, strictly, on all audits. Raises MissedError."""
         found = check_audits(self.audits(), self.tuning, set(self.names), self.seen.stops, liars)
         found += check_duties(self.duty_audits()) + check_parts(self.duty_audits())
         if self.changes is not None:
             late = 1.2 * self.changes.get("permit_ms", 6000.0) + self.lease_ms
             found += check_changes(self.duty_audits(), late, {stop.boot for stop in self.seen.stops})
         if found:
-            raise Missed("\n".join(found[:10]))
+            raise MissedError("\n".join(found[:10]))
 
     async def until(self, so: Callable[[list[dict[str, Any]]], Iterable[str]], periods: float = 60.0) -> float:
-        """Wait until `so` finds nothing wrong with the views; the periods that went by. Raises Missed.
+        """Wait until `so` finds nothing wrong with the views; the periods that went by. Raises MissedError.
 
         Periods are those of the slowest process's own time, so that a busy machine decides nothing. A process whose
         time does not run at all ends the wait too, after ten times as many looks as it should take.
@@ -322,7 +322,7 @@
                 return max(spent, default=0.0)
             looks += 1
             if min(spent, default=0.0) > periods or looks > 20 * periods:
-                raise Missed(f"after {periods:.0f} periods still: " + "; ".join(wrong[:6]))
+                raise MissedError(f"after {periods:.0f} periods still: " + "; ".join(wrong[:6]))
             for view in views:
                 began.setdefault(view["boot"], view["own_ms"])
             await asyncio.sleep(self.period_ms / 2000)
@@ -356,14 +356,14 @@
         return await self.until(so, periods)
 
     async def holder(self, duty: str) -> Place:
-        """The place whose process holds the duty now. Raises Missed."""
+        """The place whose process holds the duty now. Raises MissedError."""
         for _ in range(400):
             for place in self.up():
                 with contextlib.suppress(OSError):
                     if (await self.view(place))["duties"][duty]["here"] in ("holding", "handing on"):
                         return place
             await asyncio.sleep(0.05)
-        raise Missed(f"nobody holds {duty}")
+        raise MissedError(f"nobody holds {duty}")
 
     def _disk(self, place: Place, how: float) -> None:
         """An elector's file as it is (0), as it once was (1), or gone (2)."""
--- a/sageweir/lab/older.py
+++ b/sageweir/lab/older.py
@@ -11,7 +11,7 @@
 
 from sageweir.cluster.changes.messages import SHARDS
 from sageweir.cluster.ledger.shards import split, whole, write_map
-from sageweir.lab.faults.rig import ROOT, FleetRig, Missed
+from sageweir.lab.faults.rig import ROOT, FleetRig, MissedError
 from sageweir.lab.load import Load
 from sageweir.lab.points import DUTY, ELECTORS, NAMES, PERIODS, QUICK, all_have, propose, ready, write
 from sageweir.lab.report import Report
@@ -34,7 +34,7 @@
         if told.startswith("change"):
             break
         await asyncio.sleep(0.1)
-    raise Missed(f"not refused: {told or 'nothing was said'}")
+    raise MissedError(f"not refused: {told or 'nothing was said'}")
 
 
 async def mixed(older: Path, seed: int, old_places: int = 1) -> dict[str, Any]:
@@ -110,7 +110,7 @@
             for i in range(plays):
                 try:
                     found.append(await mixed(where, seed + i, i % 2))
-                except (AssertionError, Missed, TimeoutError) as error:
+                except (AssertionError, MissedError, TimeoutError) as error:
                     wrong.append(f"seed {seed + i}: {error}"[:400])
         finally:
             subprocess.run(["git", "-C", str(ROOT), "worktree", "remove", "--force", str(where)], check=True)
--- a/sageweir/lab/points.py
+++ b/sageweir/lab/points.py
@@ -20,7 +20,7 @@
 
 from sageweir.cluster.changes.messages import NOT_YET
 from sageweir.cluster.points import KINDS
-from sageweir.lab.faults.rig import FleetRig, Missed, Place
+from sageweir.lab.faults.rig import FleetRig, MissedError, Place
 from sageweir.lab.report import Report
 
 ELECTORS, PERIODS, DUTY = 3, 160.0, "changer"
@@ -64,7 +64,7 @@
 
 
 async def propose(rig: FleetRig, path: Path, at: str = "", kind: str = "rules") -> int:
-    """Propose until it has begun; the change's number. Raises Missed.
+    """Propose until it has begun; the change's number. Raises MissedError.
 
     What was said to be proposed is lost with its holder where that one loses the duty before the first step is written.
     """
@@ -92,7 +92,7 @@
             if any(number > before for number in numbers):
                 return int(max(numbers))
             await asyncio.sleep(0.1)
-    raise Missed(f"not proposed: {told}")
+    raise MissedError(f"not proposed: {told}")
 
 
 def in_force(view: View, kind: str) -> int:
@@ -185,7 +185,7 @@
 
 
 async def play(where: Where | None, seed: int = 1, names: Sequence[str] = NAMES) -> Played:
-    """A change with that fault, or none, until it has ended everywhere; then another, which is done. Raises Missed."""
+    """A change with that fault, or none, up to its end everywhere; then another, which is done. Raises MissedError."""
     async with FleetRig(names, seed=seed, electors=ELECTORS, changes=QUICK) as rig:
         await ready(rig)
         roles = await _roles(rig)
@@ -197,7 +197,7 @@
                 rig.arm(place)
         over = asyncio.ensure_future(_watch(rig, roles[where.role], boots)) if where is not None else None
         number = 0
-        with contextlib.suppress(Missed, StopIteration, OSError):  # the fault may have eaten the proposal
+        with contextlib.suppress(MissedError, StopIteration, OSError):  # the fault may have eaten the proposal
             number = await propose(rig, write(rig, "a.json", cold_part=0.6, note="first"))
         hit = ""
         if over is not None and where is not None:
@@ -218,12 +218,12 @@
             try:
                 second = await propose(rig, write(rig, "b.json", cold_part=0.5, note="second"))
                 break
-            except Missed:  # the first may have begun only now
+            except MissedError:  # the first may have begun only now
                 if tries == 3:
                     raise
                 await rig.until(settled, 2 * PERIODS)
         if number in begun and second <= number:  # one that was never begun leaves its number
-            raise Missed(f"change {second} comes after {number}")
+            raise MissedError(f"change {second} comes after {number}")
         await rig.until(all_have(second), 2 * PERIODS)
         rig.check()
         return Played(
@@ -262,7 +262,7 @@
         for where in jobs:
             try:
                 done.append((where, await play(where, seed)))
-            except Missed as error:
+            except MissedError as error:
                 wrong.append(f"{where}: {error}")
 
     await asyncio.gather(*(one() for _ in range(at_once)))
--- a/sageweir/lab/powersim.py
+++ b/sageweir/lab/powersim.py
@@ -34,7 +34,7 @@
     encode,
     served,
 )
-from sageweir.store.log import Distrusted, Log
+from sageweir.store.log import DistrustedError, Log
 
 TICK_MS, GUARD_MS, RELEASE_MS, WORK_MS, LIMIT_MS, DEADLINE_MS = 5.0, 300.0, 250.0, 20.0, 600.0, 2500.0
 SERVERS = ("s0", "s1")
@@ -116,7 +116,7 @@
                 if self.records > 60:
                     self.records = 0
                     self.log.snapshot(self.desk.book.snapshot())
-            except Distrusted:
+            except DistrustedError:
                 if self.plants.retries:
                     self.log.distrusted = ""
                     self._run(self.desk.durable(self.log.last))
--- a/sageweir/recovery/calls.py
+++ b/sageweir/recovery/calls.py
@@ -242,6 +242,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
+    """What a caller hears that asks again: `told` where its answer is known, wait_ms where it should come later."""
+
     say: Say
     told: Told | None = None
     wait_ms: float = 0.0
--- a/sageweir/store/files.py
+++ b/sageweir/store/files.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 
-class Locked(OSError):
+class LockedError(OSError):
     """Another process has the directory."""
 
 
@@ -52,7 +52,7 @@
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(self._lock)
-            raise Locked(f"{folder} is in use by another process") from None
+            raise LockedError(f"{folder} is in use by another process") from None
 
     def names(self) -> list[str]:
         return sorted(entry.name for entry in os.scandir(self.folder) if entry.name != "lock")
--- a/sageweir/store/frames.py
+++ b/sageweir/store/frames.py
@@ -19,7 +19,7 @@
 BODY_MAX = 1 << 20
 
 
-class Broken(ValueError):
+class BrokenError(ValueError):
     """Bytes that are no segment or snapshot of this directory; the text says why."""
 
 
@@ -41,15 +41,15 @@
 
 
 def decode_head(data: bytes, owner: int, magic: bytes = MAGIC) -> Head:
-    """Raises Broken."""
+    """Raises BrokenError."""
     if len(data) < HEAD_BYTES:
-        raise Broken(f"its head is cut after {len(data)} bytes")
+        raise BrokenError(f"its head is cut after {len(data)} bytes")
     body, check = data[: _HEAD.size], int.from_bytes(data[_HEAD.size : HEAD_BYTES], "big")
     found = _HEAD.unpack(body)
     if zlib.crc32(body) != check or found[0] != magic:
-        raise Broken("its head is spoilt, or of another form")
+        raise BrokenError("its head is spoilt, or of another form")
     if found[1] != owner:
-        raise Broken(f"it is of another directory ({found[1]:x}, not {owner:x})")
+        raise BrokenError(f"it is of another directory ({found[1]:x}, not {owner:x})")
     return Head(*found[1:])
 
 
@@ -107,9 +107,9 @@
 
 
 def decode_snapshot(data: bytes, owner: int) -> tuple[Head, bytes]:
-    """Raises Broken."""
+    """Raises BrokenError."""
     head = decode_head(data, owner, SNAPSHOT)
     state = data[HEAD_BYTES + 12 :]
     if data[HEAD_BYTES : HEAD_BYTES + 12] != len(state).to_bytes(8, "big") + _snapshot_check(head, state):
-        raise Broken("its state is cut or spoilt")
+        raise BrokenError("its state is cut or spoilt")
     return head, state
--- a/sageweir/store/log.py
+++ b/sageweir/store/log.py
@@ -15,7 +15,7 @@
 from sageweir.store.files import Files
 from sageweir.store.frames import (
     HEAD_BYTES,
-    Broken,
+    BrokenError,
     Head,
     decode_head,
     decode_snapshot,
@@ -38,7 +38,7 @@
     EACH = "each"  # before commit() returns
 
 
-class Distrusted(OSError):
+class DistrustedError(OSError):
     """A write or sync has failed: the log takes nothing more, and what it holds is not known."""
 
 
@@ -127,7 +127,7 @@
         for name in sorted((n for n in self.files.names() if _SNAPSHOT.fullmatch(n)), reverse=True):
             try:
                 return decode_snapshot(self.files.read(name), self.owner)
-            except Broken as error:
+            except BrokenError as error:
                 found.append(f"{name}: {error}")
         return None, b""
 
@@ -137,7 +137,7 @@
             data = self.files.read(name)
             try:
                 head = decode_head(data, self.owner)
-            except Broken as error:
+            except BrokenError as error:
                 found.append(f"{name}: {error}")
                 return
             scanned = scan(data, head.chain)
@@ -177,7 +177,7 @@
     # Writing
 
     def append(self, body: bytes) -> int:
-        """Take a record; its number. It is nowhere yet: commit. Raises Distrusted."""
+        """Take a record; its number. It is nowhere yet: commit. Raises DistrustedError."""
         self._trusted()
         data, self._chain = encode_record(body, self._chain)
         self._waiting += data
@@ -187,7 +187,7 @@
     def commit(self) -> int:
         """Write what was appended; the number up to which all is durable, as far as the disk tells the truth.
 
-        Raises Distrusted.
+        Raises DistrustedError.
         """
         self._trusted()
         try:
@@ -206,7 +206,7 @@
         return self.durable
 
     def sync(self) -> int:
-        """Make all that was committed durable; for the level that does so every so often. Raises Distrusted."""
+        """Make all that was committed durable; for the level that does so every so often. Raises DistrustedError."""
         self._trusted()
         try:
             self._sync()
@@ -220,7 +220,7 @@
             self.durable = self.written
 
     def snapshot(self, state: bytes) -> None:
-        """State as of all records so far; segments before it are removed. Raises Distrusted."""
+        """State as of all records so far; segments before it are removed. Raises DistrustedError."""
         self.commit()
         try:
             self._sync()
@@ -242,9 +242,9 @@
 
     def _trusted(self) -> None:
         if self.distrusted:
-            raise Distrusted(self.distrusted)
+            raise DistrustedError(self.distrusted)
 
-    def _distrust(self, error: OSError) -> Distrusted:
+    def _distrust(self, error: OSError) -> DistrustedError:
         self.distrusted = f"{error.strerror or error}"
         log.error(
             "the log is not trusted any more, it takes nothing: why=%s durable=%d taken=%d",
@@ -252,7 +252,7 @@
             self.durable,
             self.last,
         )
-        return Distrusted(self.distrusted)
+        return DistrustedError(self.distrusted)
 
     def close(self) -> None:
         self.files.close()
--- a/sageweir/store/survey.py
+++ b/sageweir/store/survey.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from sageweir.store.frames import MAGIC, SNAPSHOT, Broken, Head, decode_head, decode_snapshot, scan
+from sageweir.store.frames import MAGIC, SNAPSHOT, BrokenError, Head, decode_head, decode_snapshot, scan
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +27,7 @@
         for magic in (MAGIC, SNAPSHOT):
             try:
                 return decode_head(data, int.from_bytes(data[4:12], "big"), magic).owner
-            except Broken:
+            except BrokenError:
                 continue
     return None
 
@@ -54,7 +54,7 @@
                 rows.append(Row(name, kind, head.number, head.first, [state], len(data)))
                 continue
             head = decode_head(data, owner)
-        except Broken as error:
+        except BrokenError as error:
             rows.append(Row(name, kind, size=len(data), why=str(error)))
             continue
         found = scan(data, head.chain)
--- a/tests/test_changes_fleet.py
+++ b/tests/test_changes_fleet.py
@@ -11,7 +11,7 @@
 
 from sageweir.cli import main
 from sageweir.lab.changeaudit import check_changes
-from sageweir.lab.faults.rig import FleetRig, Missed
+from sageweir.lab.faults.rig import FleetRig, MissedError
 from sageweir.lab.faults.script import Fault, partition
 from sageweir.lab.load import Load
 from sageweir.lab.points import (
@@ -173,7 +173,7 @@
                 await asyncio.sleep(0.2)
                 if "it goes back" in (await rig.view(place))["changes"]["told"]:
                     return
-            raise Missed("not halted")
+            raise MissedError("not halted")
 
         await asked()
         await rig.until(none_has(number), PERIODS)
--- a/tests/test_changes_rules.py
+++ b/tests/test_changes_rules.py
@@ -9,7 +9,7 @@
 
 from dahliabridge import interface as api
 from dahliabridge.brain import Version
-from sageweir.cluster.changes.document import Refused, digest, read_rules
+from sageweir.cluster.changes.document import RefusedError, digest, read_rules
 from tests.driving import Gateway, server
 
 SETTINGS = api.Settings(
@@ -48,10 +48,10 @@
     ],
 )
 def test_what_a_document_must_not_say(raw: dict[str, Any], word: str) -> None:
-    with pytest.raises(Refused, match=word.replace(".", r"\.")):
+    with pytest.raises(RefusedError, match=word.replace(".", r"\.")):
         read(**raw)
     for data in (b"x", b"[]", b" " * 70_000):
-        with pytest.raises(Refused):
+        with pytest.raises(RefusedError):
             read_rules(data, SETTINGS, 1)
 
 
--- a/tests/test_cluster_fleet.py
+++ b/tests/test_cluster_fleet.py
@@ -18,7 +18,7 @@
 from sageweir.cli import main
 from sageweir.cluster.view import STOOD
 from sageweir.lab.faults.cases import CASES, LIES
-from sageweir.lab.faults.rig import PERIOD_MS, FleetRig, Missed
+from sageweir.lab.faults.rig import PERIOD_MS, FleetRig, MissedError
 from sageweir.lab.faults.script import Fault, partition
 from sageweir.lab.load import Load
 from sageweir.lab.rig import free_ports
@@ -84,12 +84,12 @@
 
 
 async def missing(case: str) -> None:
-    """The rig's own check: with a cut that does not end, waiting for a settled view ends in Missed."""
+    """The rig's own check: with a cut that does not end, waiting for a settled view ends in MissedError."""
     async with FleetRig(NAMES[:3]) as rig:
         await rig.until_alike(PERIODS)
         await rig.play(partition(0, 40, [NAMES[:1], NAMES[1:3]])[:1])
         rig.links.step(partition(0, 0, [NAMES[:1], NAMES[1:3]])[0], True)
-        with pytest.raises(Missed, match="still:"):
+        with pytest.raises(MissedError, match="still:"):
             await rig.until(lambda views: [view["me"] for view in views if not view["settled"] or view["size"] != 3], 8)
 
 
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -23,7 +23,7 @@
 from sageweir.cluster.size import Seen, Size
 from sageweir.cluster.tuning import Health, Tuning
 from sageweir.cluster.view import Post, View
-from sageweir.cluster.wire import Unreadable, decode_full, decode_packet, encode_full, encode_packet
+from sageweir.cluster.wire import UnreadableError, decode_full, decode_packet, encode_full, encode_packet
 from sageweir.config import Address, ConfigError, load_cluster, read_cluster
 from sageweir.lab.coldfleet import cold
 from sageweir.lab.faults.cases import CASES
@@ -88,7 +88,7 @@
     for decode in (decode_packet, decode_full):
         try:
             decode(data)
-        except Unreadable:
+        except UnreadableError:
             continue
 
 
@@ -96,7 +96,7 @@
     record = Record("a", 1, 2, State.ALIVE, "127.0.0.1", 9)
     data = encode_packet(Packet("f", Kind.PING, record, 1, 1, 1, "b", (News(record, "a", 3),)))
     for end in range(len(data)):
-        with pytest.raises(Unreadable):
+        with pytest.raises(UnreadableError):
             decode_packet(data[:end])
     for bad in (
         Record("", 1, 2, State.ALIVE, "h", 9),
@@ -104,7 +104,7 @@
         Record("a" * 65, 1, 2, State.ALIVE, "h", 9),
         Record("a", -1, 2, State.ALIVE, "h", 0),
     ):
-        with pytest.raises(Unreadable):
+        with pytest.raises(UnreadableError):
             decode_packet(encode_packet(Packet("f", Kind.PING, bad, 1, 1, 1)))
 
 
--- a/tests/test_control_streams.py
+++ b/tests/test_control_streams.py
@@ -14,7 +14,7 @@
 
 from sageweir.control.encoding import Encoder, encode, read_delta, read_sotw
 from sageweir.control.snapshot import CLUSTER, ENDPOINT, LISTENER, ROUTE, Body, Resource, SnapshotStore
-from sageweir.control.subscriptions import Ask, DeltaStream, Response, SotwStream, Stream, StreamFault
+from sageweir.control.subscriptions import Ask, DeltaStream, Response, SotwStream, Stream, StreamError
 from sageweir.lab.client import XdsClient
 from sageweir.limits import Limits
 
@@ -490,7 +490,7 @@
     ],
 )
 def test_what_a_stream_may_not_ask_ends_it_with_a_clear_text(ask: Ask, text: str) -> None:
-    with pytest.raises(StreamFault, match=text):
+    with pytest.raises(StreamError, match=text):
         SotwStream(Limits(), 1).ask(ask, store().present)
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -35,7 +35,7 @@
 from sageweir.cluster.ledger.shards import (
     SPACE,
     Group,
-    Refused,
+    RefusedError,
     Shard,
     groups,
     position,
@@ -289,7 +289,7 @@
     ],
 )
 def test_maps_that_cannot_be_taken(text: str, word: str) -> None:
-    with pytest.raises(Refused) as caught:
+    with pytest.raises(RefusedError) as caught:
         read_map(text.encode(), {"a", "b"})
     assert word in str(caught.value)
 
--- a/tests/test_ledger_fleet.py
+++ b/tests/test_ledger_fleet.py
@@ -13,7 +13,7 @@
 
 from sageweir.cli import main
 from sageweir.cluster.ledger.shards import split, whole, write_map
-from sageweir.lab.faults.rig import FleetRig, Missed, Place
+from sageweir.lab.faults.rig import FleetRig, MissedError, Place
 from sageweir.lab.faults.script import Fault, partition
 from sageweir.lab.load import Load
 from sageweir.lab.points import ELECTORS, NAMES, PERIODS, QUICK, all_have, none_has, propose, ready
@@ -56,7 +56,7 @@
                 if found["complete"]:
                     return found
                 break
-    raise Missed(f"no complete answer: {told}")
+    raise MissedError(f"no complete answer: {told}")
 
 
 def undisputed(rig: FleetRig) -> None:
--- a/tests/test_program_fleet.py
+++ b/tests/test_program_fleet.py
@@ -14,7 +14,7 @@
 
 from sageweir.cli import main
 from sageweir.cluster.changes.messages import PROGRAM, Permit, Phase
-from sageweir.cluster.changes.program import Document, Refused, Turn, fingerprint, read_program
+from sageweir.cluster.changes.program import Document, RefusedError, Turn, fingerprint, read_program
 from sageweir.lab.changeaudit import check_programs
 from sageweir.lab.faults.rig import ROOT, FleetRig
 from sageweir.lab.load import Load
@@ -215,7 +215,7 @@
     ],
 )
 def test_documents_that_cannot_be_taken(text: str, word: str) -> None:
-    with pytest.raises(Refused) as caught:
+    with pytest.raises(RefusedError) as caught:
         read_program(text.encode())
     assert word in str(caught.value)
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -13,9 +13,9 @@
 
 from sageweir.cli import main
 from sageweir.lab.faultydisk import FaultyDisk, PowerCut
-from sageweir.store.files import Files, Locked, RealFiles
-from sageweir.store.frames import BODY_MAX, Broken, Head, decode_head, encode_head, encode_record
-from sageweir.store.log import Distrusted, Level, Log
+from sageweir.store.files import Files, LockedError, RealFiles
+from sageweir.store.frames import BODY_MAX, BrokenError, Head, decode_head, encode_head, encode_record
+from sageweir.store.log import DistrustedError, Level, Log
 from sageweir.store.survey import lines, owner_of, survey
 
 OWNER = 0x5A6E
@@ -54,7 +54,7 @@
     again = Log(files, OWNER)
     assert again.recovered.state == b"state 5" and whole(again) == bodies(12) and not again.recovered.found
     assert again.append(b"more") == 13 and again.commit() == 13
-    with pytest.raises(Locked):
+    with pytest.raises(LockedError):
         RealFiles(tmp_path / "store")
     again.close()
     files = RealFiles(tmp_path / "store")
@@ -79,7 +79,7 @@
     filled(disk)
     other = Log(disk, OWNER + 1)
     assert other.recovered.records == [] and "another directory" in other.recovered.found[0]
-    with pytest.raises(Broken):
+    with pytest.raises(BrokenError):
         decode_head(encode_head(Head(1, 1, 1, 0))[:-1], 1)
 
 
@@ -234,7 +234,7 @@
     for at in range(started.operations + 1, plain.operations + 1):
         disk = FaultyDisk(Random(1), fails=((at, code),))
         log = Log(disk, OWNER, segment_bytes=100)
-        with pytest.raises(Distrusted):
+        with pytest.raises(DistrustedError):
             for i, body in enumerate(bodies(14), 1):
                 log.append(body)
                 if i % 3:
@@ -249,7 +249,7 @@
             partial(log.snapshot, b"s"),
         ]
         for call in calls:
-            with pytest.raises(Distrusted):
+            with pytest.raises(DistrustedError):
                 call()
         assert disk.operations == done and log.distrusted
         records = whole(Log(disk.after_power_cut(), OWNER))
@@ -260,9 +260,9 @@
     class TriesAgain(Log):
         """Tries a failed sync again."""
 
-        def _distrust(self, error: OSError) -> Distrusted:
+        def _distrust(self, error: OSError) -> DistrustedError:
             self.written = self.durable = self.last
-            return Distrusted("again")
+            return DistrustedError("again")
 
     class EarlyWord(Log):
         """Says durable before it synced."""
@@ -312,7 +312,7 @@
         log.append(body)
         try:
             log.commit()
-        except Distrusted:
+        except DistrustedError:
             continue
     if whole(Log(disk.after_power_cut(), OWNER)) != bodies(log.durable):
         found.add(TriesAgain)
