--- a/review/standins.py
+++ b/review/standins.py
@@ -82,14 +82,6 @@
         self._server = await asyncio.start_server(self._serve, host, int(port))
         self.record.write("feed", f"up at {self.address}")
 
-    def down(self) -> None:
-        """Take no connection any more, and break those that are open."""
-        assert self._server is not None
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-        self.record.write("feed", "down")
-
     def tell(self, rows: list[dict[str, Any]], whole: bool = False) -> float:
         """Put an event into the feed; when."""
         number = len(self.events) + 1
@@ -301,11 +293,6 @@
         self._reading.add(task)
         task.add_done_callback(self._reading.discard)
 
-    def leave(self) -> None:
-        assert self.writer is not None
-        self.record.write(self.name, "closes its connection")
-        self.writer.close()
-
     async def set_up(self, service_class: str, left_ms: int, dest: int) -> str:
         """Send a set-up, on a new connection where none is open; its id."""
         if not self.connected():
@@ -365,7 +352,6 @@
         """held: the platform holds the callers' listening socket, as on days with a new version under load."""
         self.record, self.feed, self.folder = record, feed, Path(tempfile.mkdtemp(prefix="review-"))
         self.memory_mb, self.sockets = memory_mb, sockets
-        self.root = ROOT
         self.listener: socket.socket | None = None
         self.listen = free_address()
         if held:
@@ -404,7 +390,7 @@
             passed = (self.listener.fileno(),)
             command = [sys.executable, "-c", INHERIT, str(passed[0]), *command]
         with (self.folder / f"{name.replace(' ', '-')}.log").open("wb") as log:
-            process = subprocess.Popen(command, cwd=self.root, env=environ, stdout=log, stderr=log, pass_fds=passed)
+            process = subprocess.Popen(command, cwd=ROOT, env=environ, stdout=log, stderr=log, pass_fds=passed)
         self.record.write("platform", f"starts the {name}, at {self.listen}")
         controller = Controller(self.record, name, process, admin, Path(log.name))
         self.started.append(controller)
@@ -467,14 +453,6 @@
             self.record.write(f"the {self.name}", f"has ended with {self.process.returncode}")
         return not self.alive()
 
-    def memory_mb(self) -> float:
-        """Its resident memory; 0 where it is gone."""
-        with contextlib.suppress(OSError, IndexError):
-            for text in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-                if text.startswith("VmRSS:"):
-                    return int(text.split()[1]) / 1024
-        return 0.0
-
 
 def play(case: Callable[[Record, bool], Awaitable[list[str]]], folder: Path) -> int:
     """Play a case; each line that it returns says how the rule was broken. The exit code."""
