End calls of a server whose address another server has taken

Cause: a link that is gone cut its calls after 2 s of silence on its connections (ServerLink.look_if_silent), but one of them had been dialled to the new server, which reports its load. ServerSide.follow knew that the address had another server, and since when.

Evidence: the log has the failed dials, no 'calls are cut', and no 'release not delivered'; both list events were applied. The check for a vanished machine can't hold, as a dial succeeded.

Change: a server listed at an address displaces whoever had it, in the list or gone from it: calls and connections older than its start end at once; calls that it took itself before it was listed are kept. An older entry told again does not displace a newer one. The same on a restart under the old name (a call that waited for the dial to the new process was cut) and in an upgrade (a call older than its server's process was taken over, and would never have ended).

--- a/sageweir/net/server_link.py
+++ b/sageweir/net/server_link.py
@@ -42,6 +42,7 @@
         self.ended = False
         self.known = False  # a connection has been up
         self.half_closed = False  # no more connections are opened; what servers say last is heard
+        self.displaced = False  # another server has the address
         self._look()
 
     # Dialling
@@ -300,20 +301,43 @@
         if self.ended:
             return
         heard = max((c.heard_at for c in self.connections if c.up), default=0.0)
-        if self.side.clock.now() - heard >= self.side.limits.gone_silence_ms:
+        silent = self.side.clock.now() - heard >= self.side.limits.gone_silence_ms
+        if silent or (self.displaced and not self._is_used()):
             self.close("it is gone")
         else:
             self.side.clock.after(self.side.limits.gone_silence_ms / 4, self.look_if_silent)
 
+    def _is_used(self) -> bool:
+        """Whether a call stands here or a set-up is in flight."""
+        return bool(self.standing) or any(connection.out() for connection in self.connections)
+
     def restarted(self, started_ms: float) -> None:
-        """The list tells, late, that another process runs there since then."""
-        # Guards against cutting what the new process took already: only what is older went down with the old.
+        """The list reports, late, that another process of this server runs since then."""
         self.started_ms = started_ms
-        old = {name: kept for name, kept in self.standing.items() if kept.sent_at < started_ms}
-        young = {name: kept for name, kept in self.standing.items() if name not in old}
-        self.standing = old
-        self.cut_all("it has started again")
-        self.standing = young
+        self._cut_older(started_ms, "it has started again")
+
+    def displace(self, started_ms: float) -> None:
+        """The list reports that another server runs at this address since then."""
+        # Prevents waiting for silence that never comes: connections opened since then reach the other server.
+        self.displaced = True
+        self._give_dial_up()
+        self._cut_older(started_ms, "another server has its address")
+
+    def _cut_older(self, started_ms: float, why: str) -> None:
+        """End the calls and connections of the process that was replaced at that time."""
+        # Prevents cutting calls that the new process took, which may have waited here for the dial that reached it.
+        carried = {
+            name
+            for connection in self.connections
+            if connection.opened_at >= started_ms
+            for name in connection.attempts
+        }
+        younger = {
+            name: attempt for name, attempt in self.standing.items() if attempt.sent_at >= started_ms or name in carried
+        }
+        self.standing = {name: attempt for name, attempt in self.standing.items() if name not in younger}
+        self.cut_all(why)
+        self.standing = younger
         for connection in list(self.connections):
             if connection.opened_at < started_ms:
                 connection.drop()
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from random import Random
 
 from dahliabridge import interface as api
@@ -17,6 +18,8 @@
 
 log = logging.getLogger("sageweir.servers")
 
+NO_PLACE = -1  # of a server that is gone: no request may name it
+
 
 class ServerSide:
     """Links to all clearing servers of the list."""
@@ -34,31 +37,55 @@
         named = {item.entry.name for item in listed}
         for name in [n for n in self.links if complete and n not in named]:
             self._gone(name)
+        displaced: dict[str, api.Server] = {}
         for item in listed:
-            entry, link = item.entry, self.links.get(item.entry.name)
-            if entry.state is api.ServerState.GONE:
-                self._gone(entry.name)
-                continue
-            if item.address is None:
-                continue
-            if link is not None and link.address != item.address:
-                link.close("it has moved")
-                link = None
-            if link is not None and entry.started_ms and link.started_ms != entry.started_ms:
-                link.restarted(entry.started_ms)
-            if link is None:
-                # Guards against two links to one process: who had this address before is gone, told or not.
-                for other in [n for n, kept in self.links.items() if kept.address == item.address]:
-                    self._gone(other)
-                link = self.links[entry.name] = ServerLink(self, entry.name, item.address)
-                link.started_ms = entry.started_ms
-            link.state = entry.state
-            if entry.state is api.ServerState.IN_SERVICE:
-                if not link.connections:
-                    link.dial()
-            else:
-                link.stop_sending()
-        self.exchange.on_list_change((item.entry for item in listed), complete)
+            for entry in self._follow_one(item):
+                displaced[entry.name] = entry
+        gone = {name: entry for name, entry in displaced.items() if name not in self.links}
+        entries = [gone.pop(item.entry.name, item.entry) for item in listed]
+        self.exchange.on_list_change([*entries, *gone.values()], complete)
+
+    def _follow_one(self, item: Listed) -> list[api.Server]:
+        """Apply one entry to the links; the entries of servers that are gone, as another one has their address."""
+        entry, link = item.entry, self.links.get(item.entry.name)
+        if entry.state is api.ServerState.GONE:
+            self._gone(entry.name)
+            return []
+        if item.address is None:
+            return []
+        if link is not None and link.address != item.address:
+            link.close("it has moved")
+            link = None
+        if link is not None and entry.started_ms and link.started_ms != entry.started_ms:
+            link.restarted(entry.started_ms)
+        displaced = []
+        if link is None:
+            if self._has_newer(item.address, entry.started_ms):
+                return [replace(entry, state=api.ServerState.GONE)]
+            displaced = self._displace(item.address, entry.started_ms)
+            link = self.links[entry.name] = ServerLink(self, entry.name, item.address)
+            link.started_ms = entry.started_ms
+        link.state = entry.state
+        if entry.state is api.ServerState.IN_SERVICE:
+            if not link.connections:
+                link.dial()
+        else:
+            link.stop_sending()
+        return displaced
+
+    def _has_newer(self, address: Address, started_ms: float) -> bool:
+        """Whether a server that started later than that is listed at the address."""
+        return any(link.address == address and link.started_ms > started_ms for link in self.links.values())
+
+    def _displace(self, address: Address, started_ms: float) -> list[api.Server]:
+        """A server that started then (0: not known) is listed at the address: those listed there before are gone."""
+        since = started_ms or self.clock.now()
+        displaced = [link for link in self.links.values() if link.address == address]
+        for link in displaced:
+            self._gone(link.name)
+        for link in [link for link in self.leaving if link.address == address and link.started_ms <= since]:
+            link.displace(since)
+        return [api.Server(link.name, NO_PLACE, api.ServerState.GONE, link.started_ms) for link in displaced]
 
     def _gone(self, name: str) -> None:
         link = self.links.pop(name, None)
@@ -113,7 +140,8 @@
 
     def adopt(self, attempt: Attempt) -> bool:
         link = self.links.get(attempt.server)
-        if link is None:
+        # Prevents taking over a call that went down with an earlier process of its server: nothing would end it.
+        if link is None or attempt.sent_at < link.started_ms:
             return False
         link.standing[attempt.request.call] = attempt
         if not link.connections:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -253,6 +253,80 @@
         s0> answer B
         c< answer B
     """,
+    # Failure: a dial for the old server reaches the new one, which speaks, so that the old one never falls silent.
+    "a new server at the address of a machine that vanished: calls of the old one are ended": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        s0: vanish
+        wait 4000
+        s0: return
+        wait 1000
+        s0> status A                 # the new server, on a connection that was dialled for the old one
+        c: quiet
+        list s0 SERVING as=s2 started=1004000
+        c< release A at=5000 cause=41
+        wait 1000
+        list s0 DELETED              # the end of the old one, told late
+        s0: open
+        show discovered=2
+    """,
+    # Failure: as above, where the list tells the end of the old server first, and it seems to go on speaking.
+    "a new server at the address of a machine that vanished and was deleted: the same": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        s0: vanish
+        wait 4000
+        s0: return
+        wait 1000
+        s0> status A
+        list s0 DELETED
+        wait 1000
+        s0> status A
+        c: quiet
+        list s0 SERVING as=s2 started=1004000
+        c< release A at=6000 cause=41
+    """,
+    # Failure: a call that the new server took under the old one's name is ended with the calls of the old one.
+    "a new server at the address of another: calls that it took before it was listed are kept": """
+        c> setup A
+        s0< setup A
+        s0> answer A
+        c< answer A
+        s0: vanish
+        wait 4000
+        s0: return
+        wait 1000
+        c> setup B dest=0 key=n2
+        s0< setup B
+        s0> answer B
+        c< answer B
+        list s0 SERVING as=s2 started=1004000
+        c< release A at=5000 cause=41
+        wait 1500
+        s0/1> status B
+        wait 1500
+        c: quiet
+        s0/1> release B cause=16
+        c< release B cause=16
+    """,
+    # Failure: an older entry, told again after a new server took its address, displaces the new one.
+    "an older server listed again at the address of a newer one: calls of the newer are kept": """
+        list s0 SERVING as=s2 started=900000
+        wait 500
+        c> setup A dest=2
+        s0< setup A
+        s0> answer A
+        c< answer A
+        list s0 SERVING
+        show discovered=2
+        c: quiet
+        s0> release A cause=16
+        c< release A cause=16
+    """,
     "calls at a machine that vanishes are released within 8 s of its last message": """
         c> setup A
         s0< setup A
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -475,3 +475,19 @@
         await world.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(("since_ms", "adopted"), [(1_000_000.0, False), (1_000_600.0, True)])
+def test_a_call_of_a_process_that_its_server_has_replaced_is_not_taken_over(since_ms: float, adopted: bool) -> None:
+    """Failure: such a call stands in the new process for good, and its caller is never told that it is over."""
+
+    async def run() -> None:
+        world = World("lines")
+        await world.open(1)
+        for line in ("c> test A", "c< tested A", "list s0 SERVING started=1000500"):
+            await world.line(line)
+        caller = next(iter(world.callers.connections))
+        assert world.exchange.adopt(EstablishedCall("b" * 16, "plain", "s0", since_ms, "h"), caller) is adopted
+        await world.close()
+
+    asyncio.run(run())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -210,13 +210,13 @@
             sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + news)
             gate.wait(60)
 
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(4)]  # two servers, two addresses of the feed
     raw = copy.deepcopy(EXAMPLE)
     known = raw["known"]["events"][0]
     known["members"]["instances"] = [row(i, listeners[0]) for i in range(1)]
     raw["listen"] = f"127.0.0.1:{free_port()}"
     path, number = tmp_path / "config.json", raw["known"]["n"]
-    new = {"n": number + 1, "members": {"reset": False, "instances": [row(1, listeners[0])]}}
+    new = {"n": number + 1, "members": {"reset": False, "instances": [row(1, listeners[3])]}}
     for i in (1, 2):
         news = f"id: {number + 1}\ndata: {json.dumps(new)}\n\n".encode() if i == 1 else b": tick\n\n"
         threading.Thread(target=feed, args=(listeners[i], news), daemon=True).start()
@@ -233,7 +233,7 @@
     try:
         assert "serving" in program.stderr.readline()
         threading.Thread(target=program.stderr.read, daemon=True).start()
-        links = [listeners[0].accept()[0] for _ in range(2)]  # one of the start, one of the first feed's news
+        links = [listeners[i].accept()[0] for i in (0, 3)]  # one of the start, one of the first feed's news
         raw["feed"] = at(listeners[2])
         path.write_text(json.dumps(raw))
         program.send_signal(signal.SIGHUP)
