Hear a control feed that answers late: repeat a request beside those that wait

Cause: FeedClient._look closed a connection after 2.5 s without a word, also before its first answer, and each new request began its wait anew. A feed that takes longer was asked without end and never heard.

The connection itself was up at once, so the dial limit was not it, and no drain was applied to the list.

Change: a request without an answer is repeated after 2.5 s on a further connection, while those before it wait on (3 at most, 30 s at most). The first that says something is listened to, and the others are closed. So a slow feed is heard when it answers, and one that forgot a request is asked again as soon as before. An answer counts from its body, as a feed may send the head at once. A connection that was heard and falls silent is closed only once another one answers.

Test: test_a_feed_that_answers_late_is_heard, seven feeds; four of them failed on the program before (4 s, head at once and body after 4 s, 6.9 s, 20 s).

--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -24,6 +24,7 @@
     accept_at_once: int = 32  # of callers' connections, in one turn of the loop
     backlog: int = 512  # connections that wait to be accepted
     handover_strangers: int = 4  # connections at the meeting place that have not said who they are
+    feed_requests: int = 3  # to the control feed that wait for their answer
     proxy_connections: int = 64  # that ask for endpoint discovery
     admin_connections: int = 16  # of operators, set aside beside callers'
     server_connections: int = 8  # to one clearing server
@@ -48,7 +49,8 @@
     guard_ms: float = 300.0  # no send of a call so long after an attempt in doubt
     answer_margin_ms: float = 8.0  # the exchange itself fails a call that is unanswered so near its end
     half_ms: float = 100.0  # a clearing server's message that is not whole so long after its first byte
-    feed_silence_ms: float = 2500.0  # the feed comments each second; this much silence is a dead connection
+    feed_silence_ms: float = 2500.0  # the feed comments each second; after this much silence it is asked once more
+    feed_answer_ms: float = 30_000.0  # a request to the feed without an answer is given up after that
     reload_retry_ms: float = 200.0  # between readings of a changed configuration that has a fault
     reload_for_ms: float = 2000.0  # how long these go on
     feed_retry_ms: float = 100.0  # between dials of the feed, after the first at once
--- a/sageweir/net/feed.py
+++ b/sageweir/net/feed.py
@@ -21,21 +21,26 @@
     def __init__(self, feed: FeedClient, address: Address) -> None:
         self.feed, self.address = feed, address
         self.transport: asyncio.Transport | None = None
-        self.heard_at = feed.clock.now()
+        self.asked_at = self.heard_at = feed.clock.now()
         self._view = memoryview(bytearray(feed.limits.read_bytes))
         self._head_reader = HeadReader(feed.limits.head_bytes)
         self._head: Head | None = None
         self._chunks: Chunks | None = None
-        self._body_heard = False
         self._events = EventStream(feed.limits.feed_event_bytes)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        feed = self.feed
+        self.asked_at = self.heard_at = self.feed.clock.now()
         self.transport.write(
             f"GET /v1/events HTTP/1.1\r\nHost: {self.address}\r\nAccept: text/event-stream\r\n"
-            f"Last-Event-ID: {feed.number}\r\nCache-Control: no-cache\r\n\r\n".encode()
+            f"Last-Event-ID: {self.feed.number}\r\nCache-Control: no-cache\r\n\r\n".encode()
         )
+        self.feed.on_asked(self)
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._view
@@ -46,8 +51,7 @@
             self._read(bytes(self._view[:nbytes]))
         except (HttpError, ConfigError) as error:
             log.warning("feed: %s; connecting anew", error)
-            if self.transport is not None:
-                self.transport.abort()
+            self.abort()
 
     def _read(self, data: bytes) -> None:
         if self._head is None:
@@ -59,10 +63,8 @@
             if "chunked" in self._head.tokens("transfer-encoding"):
                 self._chunks = Chunks()
             data = bytes(self._head_reader.rest)
-            self._body_heard = False
-        if data and not self._body_heard:
-            self._body_heard = True
-            self.feed.hearing = True
+        if data:
+            self.feed.on_answered(self)
         if self._chunks is not None:
             data = self._chunks.feed(data)
         for event in self._events.feed(data):
@@ -78,18 +80,27 @@
 
 
 class FeedClient:
-    """Keeps one connection to the feed, and applies each event once and in order."""
+    """Applies each event of the feed once and in order, from the connection that answers.
+
+    A request that is not answered is repeated on a further connection, while those sent before go on waiting: a feed
+    that is slow answers them in the end, and one that has forgotten them answers the repeated one.
+    """
 
     def __init__(
         self, clock: Clock, limits: Limits, address: Address | None, number: int, apply: Callable[[ListEvent], None]
     ) -> None:
         self.clock, self.limits, self.address, self.number, self.apply = clock, limits, address, number, apply
-        self.connection: FeedConnection | None = None
+        self.connection: FeedConnection | None = None  # the one that has answered
+        self._unanswered: list[FeedConnection] = []  # requests that wait for their answer, oldest first
         self._task: asyncio.Task[None] | None = None
         self._watch: Timer | None = None
-        self._dialed_at = 0.0
+        self._dialed_at = self._asked_at = 0.0  # when the last connection was begun, and the last request sent
         self._stopped = False
-        self.hearing = False  # the connection that is up has said something: what it told up to then is taken
+
+    @property
+    def hearing(self) -> bool:
+        """Whether a connection is up that has said something: what it told up to then is taken."""
+        return self.connection is not None
 
     def start(self) -> None:
         self._dial()
@@ -99,10 +110,18 @@
         self._stopped = True
         if self._watch is not None:
             self._watch.cancel()
-        if self._task is not None:
-            self._task.cancel()
-        if self.connection is not None and self.connection.transport is not None:
-            self.connection.transport.abort()
+        self._close_all()
+
+    def _close_all(self) -> None:
+        """Close what is open or comes up, without a further dial."""
+        task, connections = self._task, self._unanswered
+        if self.connection is not None:
+            connections.append(self.connection)
+        self.connection, self._task, self._unanswered = None, None, []
+        if task is not None:
+            task.cancel()
+        for connection in connections:
+            connection.abort()
 
     def take(self, data: str) -> None:
         """Apply one event; one that is known already is passed over."""
@@ -119,62 +138,81 @@
 
     def set_address(self, address: Address | None) -> None:
         """Go to the feed's new address, and go on after the last number."""
-        if address == self.address and self.connection is not None:
+        if address == self.address and (self.connection is not None or self._unanswered):
             return
         # Guards against news that waits for the old feed to close: it says nothing more, so it goes at once.
-        self.address, old, task = address, self.connection, self._task
-        self.connection, self._task, self.hearing = None, None, False
-        if task is not None:
-            task.cancel()
-        if old is not None and old.transport is not None:
-            old.transport.abort()
+        self.address = address
+        self._close_all()
         self._dial()
 
+    # Connections
+
     def _dial(self) -> None:
-        if not self._stopped and self._task is None and self.connection is None and self.address is not None:
-            self._dialed_at = self.clock.now()
-            self._task = asyncio.get_running_loop().create_task(self._connect(self.address))
+        """Send a request on a new connection, where none is answered and the last one has had its time."""
+        if self._stopped or self.address is None or self._task is not None or self.connection is not None:
+            return
+        if self._unanswered and self.clock.now() - self._asked_at < self.limits.feed_silence_ms:
+            return
+        if len(self._unanswered) >= self.limits.feed_requests:
+            # The oldest goes on waiting, as a feed may be slower than the time in which the others are replaced.
+            self._unanswered.pop(1).abort()
+        self._dialed_at = self.clock.now()
+        self._task = asyncio.get_running_loop().create_task(self._connect(self.address))
 
     async def _connect(self, address: Address) -> None:
-        connection, task = FeedConnection(self, address), asyncio.current_task()
+        connection = FeedConnection(self, address)
         try:
             await asyncio.wait_for(
                 asyncio.get_running_loop().create_connection(lambda: connection, address.host, address.port),
                 self.limits.dial_ms / 1000,
             )
-            if self._task is task:
-                self.connection = connection
-            elif connection.transport is not None:  # the feed has moved meanwhile
-                connection.transport.abort()
         except asyncio.CancelledError:
-            if connection.transport is not None:
-                connection.transport.abort()
+            connection.abort()
             raise
         except (OSError, TimeoutError) as error:
             log.warning("feed: %s: %s", address, error or "no connection in time")
-            self.clock.after(self.limits.feed_retry_ms, self._dial)
-        finally:
-            if self._task is task:
+            if self._task is asyncio.current_task():
                 self._task = None
-        if self.connection is connection and connection.transport is not None and connection.transport.is_closing():
-            self.lost(connection)
+            self.clock.after(self.limits.feed_retry_ms, self._dial)
+
+    def on_asked(self, connection: FeedConnection) -> None:
+        """A connection is up and its request sent, unless it was called off meanwhile."""
+        if self._stopped or connection.address != self.address or self.connection is not None:
+            connection.abort()
+            return
+        self._task = None
+        self._asked_at = connection.asked_at
+        self._unanswered.append(connection)
+
+    def on_answered(self, connection: FeedConnection) -> None:
+        """The feed says something on a connection: it is the one to listen to, and the others are closed."""
+        if connection is self.connection or connection not in self._unanswered:
+            return
+        self._unanswered.remove(connection)
+        self._close_all()
+        self.connection = connection
 
     def lost(self, connection: FeedConnection) -> None:
         """Connect anew: at once, and then no oftener than the limit says."""
-        if self.connection is not connection:
+        if connection is self.connection:
+            self.connection = None
+        elif connection in self._unanswered:
+            self._unanswered.remove(connection)
+        else:
             return
-        self.connection, self.hearing = None, False
         since = self.clock.now() - self._dialed_at
         self.clock.after(max(0.0, self.limits.feed_retry_ms - since), self._dial)
 
     def _look(self) -> None:
-        # Guards against a feed whose machine vanished: the connection stays open and says nothing.
+        now, limits = self.clock.now(), self.limits
         connection = self.connection
-        if (
-            connection is not None
-            and connection.transport is not None
-            and self.clock.now() - connection.heard_at > self.limits.feed_silence_ms
-        ):
-            log.warning("feed: silent, connecting anew")
-            connection.transport.abort()
-        self._watch = self.clock.after(self.limits.feed_silence_ms / 5, self._look)
+        if connection is not None and now - connection.heard_at > limits.feed_silence_ms:
+            # Guards against a feed whose machine vanished: the connection stays open and says nothing.
+            log.warning("feed: silent, asking anew beside it")
+            self.connection = None
+            self._unanswered.append(connection)
+        for old in [c for c in self._unanswered if now - max(c.asked_at, c.heard_at) > limits.feed_answer_ms]:
+            log.warning("feed: no answer within %.0f ms, the request is given up", limits.feed_answer_ms)
+            old.abort()
+        self._dial()
+        self._watch = self.clock.after(limits.feed_silence_ms / 5, self._look)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -171,6 +171,71 @@
     assert asked == ["3", "5", "5", "5", "5"]
 
 
+class SlowFeed:
+    """A feed that sends the head and the body of each answer late, by a test clock, and forgets its first requests."""
+
+    def __init__(self, clock: SetClock, head_ms: float, body_ms: float, forgets: int) -> None:
+        self.clock, self.head_ms, self.body_ms, self.forgets = clock, head_ms, body_ms, forgets
+        self.requests, self.open, self.most_open = 0, 0, 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.requests += 1
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        if self.requests > self.forgets:
+            self.clock.after(self.head_ms, lambda: writer.write(b"HTTP/1.1 200 OK\r\n\r\n"))
+            self.clock.after(self.body_ms, lambda: self.tell(writer))
+        await reader.read()
+        self.open -= 1
+        writer.close()
+
+    def tell(self, writer: asyncio.StreamWriter) -> None:
+        """All events, and then a comment each second."""
+        writer.write(event(4, "a"))
+        self.comment(writer)
+
+    def comment(self, writer: asyncio.StreamWriter) -> None:
+        if not writer.is_closing():
+            writer.write(b": tick\n\n")
+            self.clock.after(1000.0, lambda: self.comment(writer))
+
+
+@pytest.mark.parametrize(
+    ("head_ms", "body_ms", "forgets", "heard_by_ms"),
+    [
+        (0.0, 0.0, 0, 0.0),
+        (4000.0, 4000.0, 0, 4000.0),
+        (0.0, 4000.0, 0, 4000.0),
+        (6900.0, 6900.0, 0, 6900.0),
+        (20_000.0, 20_000.0, 0, 20_000.0),
+        (0.0, 0.0, 1, 3000.0),  # a request without an answer is repeated after 2.5 s, with looks each 0.5 s
+        (2000.0, 4000.0, 2, 10_000.0),
+    ],
+)
+def test_a_feed_that_answers_late_is_heard(head_ms: float, body_ms: float, forgets: int, heard_by_ms: float) -> None:
+    """Failure: a feed slower than the patience with a silent one is asked anew without end, and never heard."""
+    got: list[float] = []
+
+    async def run() -> None:
+        clock = SetClock()
+        began, slow = clock.now(), SlowFeed(clock, head_ms, body_ms, forgets)
+        server = await asyncio.start_server(slow.serve, "127.0.0.1", 0)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        feed = FeedClient(clock, Limits(), address, 3, lambda found: got.append(clock.now() - began))
+        feed.start()
+        while clock.now() - began < heard_by_ms + 5000.0:
+            for _ in range(10):  # what was sent up to now arrives, at both ends
+                await asyncio.sleep(0.0002)
+            clock.advance(100.0)
+        assert feed.hearing and slow.open == 1 and slow.most_open <= Limits().feed_requests
+        feed.stop()
+        server.close()
+
+    asyncio.run(run())
+    assert len(got) == 1 and got[0] <= heard_by_ms + 200.0  # two steps of the clock
+
+
 def test_a_reload_moves_the_feed_with_its_number_and_keeps_the_old_on_a_fault(caplog: pytest.LogCaptureFixture) -> None:
     clock, told = SetClock(), list[object]()
     config = read(EXAMPLE)
