Keep the channel of an upgrade over a release with a cause out of range

Cause: a release was accepted with any cause and reported to the other process, whose decode() takes 0 to 2^31; a report that can't be decoded ended the channel for good, so the old process passed on neither connections nor calls nor their ends.

Evidence: in a run with the whole log kept, the new process writes 'the other process is not listened to any more: not a number from 0 to 2.14748e+09: -1' within 1 ms of taking over what was learned; the old one stops with 103 calls open.

Change: a cause out of range counts as 16 where a message is parsed, on both fronts and from servers as well; a handover message of a known type with a field that can't be used is skipped, and its connection, if any, closed. The same cause on related paths: a class over 256 characters in an unanswered set-up on a connection that is passed on (refused now), a server's rate over 10^15 in what was learned, a relayed message of unknown type. decode() is a table of one short reader for each type.

--- a/sageweir/handover.py
+++ b/sageweir/handover.py
@@ -1,7 +1,9 @@
 """Messages between an old process and its successor, and the state of the handover; no I/O.
 
-Messages are JSON lines. One that is truncated, foreign, too long or invalid raises HandoverError; the process that
-receives it starts, or goes on, without the other. Old and new builds exchange them: field names and `msg` values stay.
+Messages are JSON lines. One that is truncated, foreign or too long raises HandoverError; the process that receives it
+starts, or goes on, without the other. One of a known type with a field that can't be used is skipped, and the messages
+after it count: what a caller or server sent is in such fields, and must not part the two processes. Old and new builds
+exchange them: field names and `msg` values stay.
 """
 
 from __future__ import annotations
@@ -9,11 +11,13 @@
 from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass
 from math import isfinite
+from sys import float_info
 from typing import Any
 
 import orjson
 
 from dahliabridge import interface as api
+from sageweir.messages import MAX_CAUSE
 
 VERSION = 1
 
@@ -22,6 +26,10 @@
     """The other process has violated the handover protocol."""
 
 
+class UnusableMessageError(HandoverError):
+    """A message of a known type has a field that can't be used; those after it can be read."""
+
+
 @dataclass(frozen=True, slots=True)
 class Hello:
     """First message of the new process; settings: digest of the settings that it was given."""
@@ -98,6 +106,14 @@
     returned: bool
 
 
+@dataclass(frozen=True, slots=True)
+class UnusableMessage:
+    """A received message that can't be used, to be skipped; message_type: what it was meant as."""
+
+    message_type: type
+    reason: str
+
+
 HandoverMessage = Hello | HelloReply | EstablishedCall | TakeOver | PassedConnection | RelayedMessage | CallEnded
 _MESSAGE_TYPES: dict[str, type] = {
     "hello": Hello,
@@ -151,13 +167,17 @@
     return None if raw is None else parse(raw)
 
 
+def _rate(raw: Any) -> float:
+    return _number(raw, maximum=float_info.max)  # as a clearing server has reported it
+
+
 def _server_learned(raw: Any) -> api.ServerLearned:
     return api.ServerLearned(
         _text(raw["name"]),
         _number(raw["started_ms"]),
         _optional(_number, raw["floor"]),
         _number(raw["current"]),
-        _optional(_number, raw["max_rate"]),
+        _optional(_rate, raw["max_rate"]),
         _number(raw["hold_back"], maximum=1.0),
         _number(raw["errors"], maximum=1.0),
         _integer(raw["bad"], 0, 1 << 30),
@@ -176,61 +196,94 @@
     )
 
 
-def decode(line: bytes) -> HandoverMessage:
-    """Decode a message. Raises HandoverError for any invalid line, and nothing else."""
+def _hello(raw: Any) -> Hello:
+    return Hello(_text(raw["name"]), _text(raw["settings"]))
+
+
+def _hello_reply(raw: Any) -> HelloReply:
+    return HelloReply(None if raw["learned"] is None else _learned(raw["learned"]))
+
+
+def _established_call(raw: Any) -> EstablishedCall:
+    return EstablishedCall(
+        _text(raw["call"]),
+        _text(raw["service_class"]),
+        _text(raw["server"]),
+        _number(raw["since"]),
+        _text(raw["host"]),
+        _boolean(raw["kept"]),
+    )
+
+
+def _passed_connection(raw: Any) -> PassedConnection:
+    return PassedConnection(
+        _text(raw["rest"], _MAX_MESSAGE_CHARS),
+        _boolean(raw["spoke"]),
+        _boolean(raw["served"]),
+        _integer(raw["faults"], 0, 1 << 30),
+        _number(raw["opened_at"]),
+        _number(raw["heard_at"]),
+        _optional(_number, raw["begun_at"]),
+        tuple(_text(call) for call in _list(raw["standing"], 100_000)),
+        tuple((_text(call), _text(name)) for call, name in _list(raw["owed"], 100_000)),
+    )
+
+
+def _relayed_message(raw: Any) -> RelayedMessage:
+    fields, text = raw["fields"], raw["text"]
+    if not isinstance(fields, dict) or len(fields) > 16:
+        raise HandoverError(f"not an object of at most 16 fields: {fields!r:.40}")
+    return RelayedMessage(
+        _text(raw["call"]),
+        _text(raw["word"]),
+        _integer(raw["cause"], 0, MAX_CAUSE),
+        {_text(k): _text(v, _MAX_MESSAGE_CHARS) for k, v in fields.items()},
+        None if text is None else _text(text, _MAX_MESSAGE_CHARS),
+    )
+
+
+def _call_ended(raw: Any) -> CallEnded:
+    return CallEnded(
+        _text(raw["call"]),
+        _integer(raw["cause"], 0, MAX_CAUSE),
+        _boolean(raw["by_caller"]),
+        _boolean(raw["returned"]),
+    )
+
+
+_READERS: dict[type, Callable[[Any], HandoverMessage]] = {
+    Hello: _hello,
+    HelloReply: _hello_reply,
+    EstablishedCall: _established_call,
+    TakeOver: lambda raw: TakeOver(),
+    PassedConnection: _passed_connection,
+    RelayedMessage: _relayed_message,
+    CallEnded: _call_ended,
+}
+
+
+def _read_type(line: bytes) -> tuple[type, Any]:
+    """The type of a message, and its fields as they came. Raises HandoverError where it is no message."""
     try:
         raw = orjson.loads(line)
         if raw["v"] != VERSION:
             raise HandoverError(f"version {raw['v']!r:.40}, not {VERSION}")
-        kind = _MESSAGE_TYPES[raw["msg"]]
-        if kind is Hello:
-            return Hello(_text(raw["name"]), _text(raw["settings"]))
-        if kind is HelloReply:
-            return HelloReply(None if raw["learned"] is None else _learned(raw["learned"]))
-        if kind is EstablishedCall:
-            return EstablishedCall(
-                _text(raw["call"]),
-                _text(raw["service_class"]),
-                _text(raw["server"]),
-                _number(raw["since"]),
-                _text(raw["host"]),
-                _boolean(raw["kept"]),
-            )
-        if kind is PassedConnection:
-            return PassedConnection(
-                _text(raw["rest"], _MAX_MESSAGE_CHARS),
-                _boolean(raw["spoke"]),
-                _boolean(raw["served"]),
-                _integer(raw["faults"], 0, 1 << 30),
-                _number(raw["opened_at"]),
-                _number(raw["heard_at"]),
-                _optional(_number, raw["begun_at"]),
-                tuple(_text(call) for call in _list(raw["standing"], 100_000)),
-                tuple((_text(call), _text(name)) for call, name in _list(raw["owed"], 100_000)),
-            )
-        if kind is RelayedMessage:
-            fields, text = raw["fields"], raw["text"]
-            if not isinstance(fields, dict) or len(fields) > 16:
-                raise HandoverError(f"not an object of at most 16 fields: {fields!r:.40}")
-            return RelayedMessage(
-                _text(raw["call"]),
-                _text(raw["word"]),
-                _integer(raw["cause"], 0, 1 << 31),
-                {_text(k): _text(v, _MAX_MESSAGE_CHARS) for k, v in fields.items()},
-                None if text is None else _text(text, _MAX_MESSAGE_CHARS),
-            )
-        if kind is CallEnded:
-            return CallEnded(
-                _text(raw["call"]),
-                _integer(raw["cause"], 0, 1 << 31),
-                _boolean(raw["by_caller"]),
-                _boolean(raw["returned"]),
-            )
-        return TakeOver()
+        return _MESSAGE_TYPES[raw["msg"]], raw
+    except (ValueError, TypeError, KeyError, IndexError) as error:
+        raise _handover_error(HandoverError, error) from None
+
+
+def _handover_error(kind: type[HandoverError], error: Exception) -> HandoverError:
+    return kind(str(error) if isinstance(error, HandoverError) else f"invalid message: {error!r:.80}")
+
+
+def decode(line: bytes) -> HandoverMessage:
+    """Decode a message. Raises HandoverError for any invalid line, and nothing else."""
+    kind, raw = _read_type(line)
+    try:
+        return _READERS[kind](raw)
     except (ValueError, TypeError, KeyError, IndexError) as error:
-        if isinstance(error, HandoverError):
-            raise
-        raise HandoverError(f"invalid message: {error!r:.80}") from None
+        raise _handover_error(UnusableMessageError, error) from None
 
 
 class LineDecoder:
@@ -239,13 +292,16 @@
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes, self._buffer = max_bytes, bytearray()
 
-    def feed(self, data: bytes | memoryview) -> Iterator[HandoverMessage]:
+    def feed(self, data: bytes | memoryview) -> Iterator[HandoverMessage | UnusableMessage]:
         """Add bytes and yield the messages that are complete. Raises HandoverError."""
         self._buffer += data
         while (end := self._buffer.find(b"\n")) >= 0:
             line = bytes(self._buffer[:end])
             del self._buffer[: end + 1]
-            yield decode(line)
+            try:
+                yield decode(line)
+            except UnusableMessageError as error:
+                yield UnusableMessage(_read_type(line)[0], str(error))
         if len(self._buffer) > self._max_bytes:
             raise HandoverError(f"message longer than {self._max_bytes} bytes")
 
--- a/sageweir/messages.py
+++ b/sageweir/messages.py
@@ -35,6 +35,14 @@
     TIMER_EXPIRED = 102
 
 
+MAX_CAUSE = (1 << 31) - 1
+
+
+def usable_cause(cause: int) -> int:
+    """A cause as it was received; NORMAL in place of one that is out of range."""
+    return cause if 0 <= cause <= MAX_CAUSE else Cause.NORMAL
+
+
 RETRYABLE_CAUSES = frozenset(
     {Cause.FULL, Cause.CONGESTION, Cause.TIMER_EXPIRED}
 )  # refusals: the caller may safely retry
--- a/sageweir/net/callapi.py
+++ b/sageweir/net/callapi.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from sageweir.messages import Cause, Kind, MalformedInput, Message, parse_pairs
+from sageweir.messages import Cause, Kind, MalformedInput, Message, parse_pairs, usable_cause
 from sageweir.net.jsonlines import ID
 
 TYPES = {
@@ -100,7 +100,7 @@
     if text is not None and not isinstance(text, str):
         raise ValueError("'description' must be a string")
     # To the core a refusal or failure that comes in is a release before the answer, told apart by its cause.
-    return Message(Kind.RELEASE if kind in DEFAULT_CAUSES else kind, call, fields, cause, text)
+    return Message(Kind.RELEASE if kind in DEFAULT_CAUSES else kind, call, fields, usable_cause(cause), text)
 
 
 def decode(text: str) -> Message | MalformedInput:
--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -22,6 +22,7 @@
 log = logging.getLogger("sageweir.callers")
 
 
+MAX_CLASS_CHARS = 256  # as many as the other process of an upgrade accepts
 # What the figures of a set-up may be; others are carried and not looked at.
 EXTRAS = {"dest": (-1.0, 65535.0), "width": (1.0, 64.0), "via": (-1.0, 65535.0), "again": (0.0, 1.0)}
 
@@ -31,6 +32,8 @@
     service_class = message.fields.get("class", "")
     if not service_class:
         return "a set-up needs 'class'"
+    if len(service_class) > MAX_CLASS_CHARS:
+        return f"'class' must have at most {MAX_CLASS_CHARS} characters, got {len(service_class)}"
     try:
         left_ms = float(message.fields["left"])
     except (KeyError, ValueError):
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -31,6 +31,7 @@
     RelayedMessage,
     Succession,
     TakeOver,
+    UnusableMessage,
     encode,
 )
 from sageweir.limits import Limits
@@ -41,6 +42,7 @@
 log = logging.getLogger("sageweir.handover")
 
 PLACE = "sageweir.sock"
+RELAYED_KINDS = {kind.value: kind for kind in Kind}
 
 
 class Channel:
@@ -67,13 +69,25 @@
                 self.drop()
                 return
             for word in self._lines.feed(data):
-                self.side.received(self, word)
+                if isinstance(word, UnusableMessage):
+                    self._skip(word)
+                else:
+                    self.side.received(self, word)
         except (BlockingIOError, InterruptedError):
             return
         except (HandoverError, OSError) as error:
             log.warning("the other process is not listened to any more: %s", error)
             self.drop()
 
+    def _skip(self, message: UnusableMessage) -> None:
+        """Go on after a message that can't be used. Raises HandoverError where the sender has not said who it is."""
+        # Prevents one bad message of a caller or server from parting the processes: all calls would be lost with them.
+        if not self.side.is_known(self):
+            raise HandoverError(message.reason)
+        log.warning("a %s of the other process is skipped: %s", message.message_type.__name__, message.reason)
+        if message.message_type is PassedConnection:  # descriptors are matched by order
+            self.take_socket().close()
+
     def take_socket(self) -> socket.socket:
         """The connection that came with the message. Raises HandoverError where none did."""
         try:
@@ -231,6 +245,10 @@
 
     # Between the two
 
+    def is_known(self, channel: Channel) -> bool:
+        """Whether the channel leads to the predecessor or the successor."""
+        return channel in (self.predecessor, self.successor)
+
     def received(self, channel: Channel, word: HandoverMessage) -> None:
         """One message of the other process. Raises HandoverError where it may not say that."""
         match word:
@@ -256,7 +274,7 @@
                 self._tell(word)
             case EstablishedCall() if channel is self.predecessor:
                 self._adopt(word)
-            case CallEnded() if channel in (self.predecessor, self.successor):
+            case CallEnded() if self.is_known(channel):
                 self._over(channel, word)
             case _:
                 raise HandoverError(f"{type(word).__name__} is not its to say")
@@ -278,17 +296,20 @@
         task.add_done_callback(self._tasks.discard)
 
     def _tell(self, word: RelayedMessage) -> None:
-        connection = self._passed.get(word.call)
+        connection, kind = self._passed.get(word.call), RELAYED_KINDS.get(word.word)
+        if kind is None:
+            log.warning("call %s: a message of unknown type %r is not passed on", word.call, word.word)
+            return
         if connection is None or (word.call not in connection.open and word.call not in connection.standing):
             return  # its caller has ended it, or is gone
         self.exchange.predecessor_calls.pop(word.call, None)
-        if word.word == Kind.ANSWER.value:
+        if kind is Kind.ANSWER:
             connection.answer(word.call, word.text)
             return
         del self._passed[word.call]
         self._kept.pop(word.call, None)
         connection.forget_call(word.call)
-        connection.send(Message(Kind(word.word), word.call, word.fields, word.cause, word.text))
+        connection.send(Message(kind, word.call, word.fields, word.cause, word.text))
 
     def _adopt(self, word: EstablishedCall) -> None:
         if word.kept:
--- a/sageweir/net/jsonlines.py
+++ b/sageweir/net/jsonlines.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from sageweir.messages import Kind, MalformedInput, Message
+from sageweir.messages import Kind, MalformedInput, Message, usable_cause
 
 WORDS = {
     "open": Kind.SET_UP,
@@ -60,7 +60,7 @@
         kind,
         call,
         {k: v if isinstance(v, str) else f"{v:g}" if isinstance(v, float) else str(v) for k, v in attrs.items()},
-        cause,
+        usable_cause(cause),
         text,
     )
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -34,10 +34,13 @@
     RelayedMessage,
     Succession,
     TakeOver,
+    UnusableMessage,
     decode,
     encode,
 )
 from sageweir.messages import Kind, Message
+from sageweir.net import callapi, jsonlines
+from sageweir.net.callers import read_request
 from tests.driving import ControllerDriver, server
 from tests.scenario import World
 from tests.test_operation import Caller, Program, platform
@@ -93,7 +96,8 @@
 
 @given(st.lists(MESSAGE, max_size=4), st.integers(1, 50))
 def test_messages_come_through_in_pieces_of_any_size(messages: list[HandoverMessage], size: int) -> None:
-    data, lines, got = b"".join(map(encode, messages)), LineDecoder(1 << 16), list[HandoverMessage]()
+    data, lines = b"".join(map(encode, messages)), LineDecoder(1 << 16)
+    got: list[HandoverMessage | UnusableMessage] = []
     for i in range(0, len(data), size):
         got += lines.feed(data[i : i + size])
     assert got == messages
@@ -145,6 +149,39 @@
         decode(json.dumps(raw).encode())
 
 
+@pytest.mark.parametrize("cause", [-(1 << 63), -1, 0, 127, (1 << 31) - 1, 1 << 31, (1 << 63) - 1])
+@pytest.mark.parametrize("wire", ["lines", "websocket"])
+def test_a_release_with_any_cause_can_be_reported_to_the_other_process(wire: str, cause: int) -> None:
+    """Failure: one release with a cause out of range ended the channel between the two processes of an upgrade."""
+    if wire == "lines":
+        message = jsonlines.decode(b'{"msg":"close","sid":"%s","attrs":{},"code":%d}' % (b"a" * 16, cause))
+    else:
+        message = callapi.decode(f'{{"type":"release","call":"{"a" * 16}","cause":{cause}}}')
+    assert isinstance(message, Message) and message.cause == (cause if 0 <= cause < 1 << 31 else 16)
+    for word in (
+        CallEnded(message.call, message.cause, True, False),
+        RelayedMessage(message.call, "release", message.cause, {}, None),
+    ):
+        assert decode(encode(word)[:-1]) == word
+
+
+def test_a_class_too_long_to_be_handed_over_is_refused() -> None:
+    """Failure: an unanswered set-up with such a class ended the channel when its connection was passed on."""
+    fields = {"class": "x" * 257, "left": "1000"}
+    assert read_request(Message(Kind.SET_UP, "a" * 16, fields), 90_000.0) == (
+        "'class' must have at most 256 characters, got 257"
+    )
+    fields["class"] = "x" * 256
+    assert not isinstance(read_request(Message(Kind.SET_UP, "a" * 16, fields), 90_000.0), str)
+
+
+def test_a_reported_rate_of_any_size_does_not_spoil_what_was_learned() -> None:
+    """Failure: a clearing server that reported a rate of over 10^15 made each successor start cold."""
+    learned = api.ServerLearned("s", 0.0, None, 0.0, 1e300, 0.0, 0.0, 0, 0.0, (1.0,), (0.0,))
+    word = HelloReply(api.Learned(0.0, 0.0, (), (learned,)))
+    assert decode(encode(word)[:-1]) == word
+
+
 def test_a_message_without_end_is_an_error() -> None:
     with pytest.raises(HandoverError, match="longer than 100 bytes"):
         list(LineDecoder(100).feed(b"x" * 101))
@@ -320,6 +357,67 @@
             hear(who, "close", name)
 
 
+@pytest.mark.parametrize("cause", [-1, 1 << 40])
+def test_a_bad_release_during_an_upgrade_leaves_the_calls_of_others_alone(tmp_path: Path, cause: int) -> None:
+    """Failure: the processes parted over it, and callers were never told of the ends of their calls."""
+    with deployment(tmp_path) as rig:
+        rig.start()
+        caller, late, bad, server = Caller(rig.port), Caller(rig.port), Caller(rig.port), rig.server
+        caller.set_up("a")
+        line = server.answer("a")
+        hear(caller, "ready", "a")
+        late.set_up("b")
+        assert server.hear("open", "b") is line
+        rig.start()
+        bad.say(msg="close", sid="c" * 16, attrs={}, code=cause)
+        assert bad.hear()["msg"] == "closed"  # the old process has passed it on
+        rig.stop(0)
+        server.send("close", "b", line, code=cause)  # refused; said by the old process, through the new one
+        hear(late, "close", "b")
+        assert rig.ended(0)  # at once, as the new process has its calls
+        server.send("close", "a", code=cause)
+        hear(caller, "close", "a")
+
+
+def test_messages_that_cannot_be_used_are_skipped_and_those_after_them_count(tmp_path: Path) -> None:
+    """Failure: the channel to an older build ended at the first one, and with it all that was to be handed over."""
+    with (
+        deployment(tmp_path) as rig,
+        socket.socket(socket.AF_UNIX) as place,
+        socket.create_server(("127.0.0.1", 0)) as listener,
+    ):
+        place.bind(str(tmp_path / "sageweir.sock"))
+        place.listen()
+        place.settimeout(30)
+        channels: list[socket.socket] = []
+
+        def reply() -> None:
+            channels.append(place.accept()[0])
+            assert isinstance(decode(channels[0].recv(4096)[:-1]), Hello)
+            channels[0].sendall(encode(HelloReply(None)))
+
+        answering = threading.Thread(target=reply, daemon=True)
+        answering.start()
+        rig.start()
+        answering.join()
+        (channel,) = channels
+        ends = [(Caller(listener.getsockname()[1]), listener.accept()[0]) for _ in range(2)]
+        (lost, lost_end), (kept, kept_end) = ends
+        channel.sendall(encode(CallEnded("c" * 16, -1, True, False)))
+        channel.sendall(encode(RelayedMessage("c" * 16, "what", 16, {}, None)))
+        passed = PassedConnection("", True, True, 0, 1e12, 1e12, None, ("a" * 16,), ())
+        for end, word in ((lost_end, replace(passed, faults=-1)), (kept_end, passed)):
+            socket.send_fds(channel, [encode(word)], [end.fileno()])
+            end.close()
+        name = json.loads(rig.path.read_text())["known"]["events"][0]["members"]["instances"][0]["instanceId"]
+        channel.sendall(encode(EstablishedCall("a" * 16, "status-check", name, time.time() * 1000, "127.0.0.1")))
+        assert lost.hear() == {}  # closed
+        assert kept.ready() == 1
+        rig.server.send("close", "a", code=16)
+        hear(kept, "close", "a")
+        channel.close()
+
+
 def test_unanswered_requests_of_an_old_process_are_failed_when_it_is_killed(tmp_path: Path) -> None:
     with deployment(tmp_path) as rig:
         rig.start()
