--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -468,8 +469,9 @@
         self.say(msg="probe", sid="f" * 16, attrs={}, code=0)
         return int(self.hear()["code"])
 
-    def set_up(self, name: str) -> None:
-        self.say(msg="open", sid=name * 16, attrs={"class": "status-check", "left": "8000", "extras": "dest:0"})
+    def set_up(self, name: str, left_ms: float = 8000.0) -> None:
+        attrs = {"class": "status-check", "left": f"{left_ms:.0f}", "extras": "dest:0"}
+        self.say(msg="open", sid=name * 16, attrs=attrs)
 
 
 @contextmanager
@@ -517,6 +519,28 @@
                 program.process.wait()
 
 
+def test_a_set_up_that_waited_while_the_process_did_not_run_has_that_much_less_time(tmp_path: Path) -> None:
+    """Failure: a process without its core while it waits for input passes on more time than the caller has left."""
+    left_ms, held_up_s, slack_ms = 2000.0, 1.0, 150.0
+    with platform(tmp_path) as (path, listener, held):
+        program = Program(path, {"NODE_SOCKET_FD": str(held.fileno())}, held.fileno())
+        try:
+            link, caller = listener.accept()[0], Caller(int(held.getsockname()[1]))
+            assert caller.ready() == 1
+            program.process.send_signal(signal.SIGSTOP)
+            caller.set_up("a", left_ms)
+            sent_at = time.monotonic()
+            time.sleep(held_up_s)
+            elapsed_ms = (time.monotonic() - sent_at) * 1000
+            program.process.send_signal(signal.SIGCONT)
+            message = json.loads(link.makefile().readline())
+            assert message["msg"] == "open"
+            assert float(message["attrs"]["left"]) <= left_ms - elapsed_ms + slack_ms
+        finally:
+            program.process.kill()
+            program.process.wait()
+
+
 def test_a_descriptor_that_does_not_listen_is_a_plain_error(tmp_path: Path) -> None:
     with platform(tmp_path) as (path, _, _), socket.socket() as other:
         fd = other.fileno()
