Take the handling of own stalls out of the decision module

The answer at once to what can't be sent in time stays, with its test; the time that a call waited is the exchange's to take off.

--- a/dahliabridge/brain.py
+++ b/dahliabridge/brain.py
@@ -62,7 +62,6 @@
 PEER_WEIGHT = 0.1  # weight of one peer message in the mean rates
 DISPATCH_INTERVAL_MS = 20.0  # between checks of waiting calls
 PROBE_RESULT_MS = 1500.0  # no trial calls for this long after a peer reports an unanswered probe
-STALL_MS = 100.0  # a control timer this late shows that this process was stalled
 CONTROL_TIMER = 1
 DISPATCH_TIMER = 2
 FAILURE_OUTCOMES = (api.Outcome.TIMED_OUT, api.Outcome.CONNECT_FAILED, api.Outcome.RESET, api.Outcome.FULL)
@@ -172,12 +171,12 @@
         age = max(0.0, now - self.entry.started_ms) / settings.slow_start_ms
         return min(1.0, settings.slow_start_min_fraction + (1 - settings.slow_start_min_fraction) * age)
 
-    def take_delay_sample(self, now: float, target: float, since: float) -> float | None:
+    def take_delay_sample(self, now: float, target: float) -> float | None:
         """Remove the samples of a control run and return their 90th percentile; None if there are none.
 
         The age of an unanswered attempt counts as a sample once it exceeds the target.
         """
-        overdue = [now - sent for sent in self.pending_sends() if sent >= since and now - sent > target]
+        overdue = [now - sent for sent in self.pending_sends() if now - sent > target]
         samples = sorted(self.delay_samples + overdue)
         self.delay_samples = []
         return samples[ceil(PERCENTILE * len(samples)) - 1] if samples else None
@@ -263,22 +262,14 @@
         self.unserved: dict[str, float] = {}  # numbers whose last call was not served: when first dialled
         self.quotas = {t.name: TokenBucket(0.0, MIN_EVENTS, QUOTA_DEPTH_MS) for t in settings.tenants}
         self.tick_pending = False  # a DISPATCH_TIMER is set
-        self.control_due_at = inf
-        self.resumed_at = -inf  # end of the last stall of this process
-        self.longest_timeouts_ms = [0.0] * len(settings.classes)  # longest seen from callers, by class
         self.actions: list[api.Action] = []
 
     def handle(self, event: api.Event, now_ms: float) -> list[api.Action]:
         """Process one event and return the actions to take, in order."""
         self.actions = []
-        # This process was stalled: delays of attempts in flight say nothing about the servers.
-        if now_ms - self.control_due_at > STALL_MS:
-            self.resumed_at = now_ms
-            self.actions.append(api.Note(f"own stall of {now_ms - self.control_due_at:.0f} ms"))
-        self.control_due_at = max(self.control_due_at, now_ms)
         if self.controlled_at == -inf:
             self.controlled_at = now_ms
-            self.schedule_control(self.rng.uniform(0.2, 1.2), now_ms)
+            self.schedule_control(self.rng.uniform(0.2, 1.2))
         match event:
             case api.SetupRequest():
                 self.on_setup_request(event, now_ms)
@@ -324,18 +315,12 @@
             return self.actions.append(api.Refuse(request.call))
         self.arrivals.count += 1
         spec = self.settings.classes[class_index]
-        # After a stall of this process, calls that waited for it have less than the usual time left: the
-        # difference tells when they were dialled.
-        self.longest_timeouts_ms[class_index] = max(self.longest_timeouts_ms[class_index], request.timeout_ms)
-        dialled_at = now - (
-            self.longest_timeouts_ms[class_index] - request.timeout_ms if now == self.resumed_at else 0.0
-        )
         # Prevents redials from crowding out calls still within their objective: it counts from the first try.
-        first_dialled_at = self.unserved.get(request.number, -inf if request.redialled else dialled_at)
-        call = CallState(
-            request, class_index, dialled_at if request.was_dropped else first_dialled_at, now, self.rule_set
-        )
-        self.first_tries.count += call.first_dialled_at == dialled_at
+        first_dialled_at = self.unserved.get(request.number, -inf if request.redialled else now)
+        if request.was_dropped:
+            first_dialled_at = now
+        call = CallState(request, class_index, first_dialled_at, now, self.rule_set)
+        self.first_tries.count += call.first_dialled_at == now
         self.arrivals_by_choice.get(request.first_choice, RateMeter()).count += 1
         late = call.first_dialled_at + spec.objective_ms - call.target_ms < now
         call.objective_at = call.deadline_at if late else call.first_dialled_at + spec.objective_ms
@@ -358,7 +343,7 @@
         self.calls[request.call] = call
         if call.deadline_at <= now:  # no time is left: answer in this very batch
             return self.finish(call, now, failed=False)
-        view = None if self.waiting or now == self.resumed_at else self.choose_server(call, now)
+        view = None if self.waiting else self.choose_server(call, now)
         self.waiting[request.call] = call
         if view:
             self.send(call, view, now)
@@ -373,7 +358,7 @@
     def on_answered(self, event: api.Answered, now: float) -> None:
         view = self.servers.get(event.server)
         sent = view.in_flight.pop((event.call, event.attempt), None) if view else None
-        if view and sent is not None and sent >= self.resumed_at:
+        if view and sent is not None:
             # The least delay is subtracted: with a target close to an idle server's delay, rates that were
             # decreased once could never increase again.
             view.min_delay_ms = min(view.min_delay_ms, event.took_ms)
@@ -397,7 +382,7 @@
         if view:
             view.on_report(event.max_rate, event.hold_back)
             sent = view.in_flight.pop((event.call, event.attempt), None)
-            if sent is not None and sent >= self.resumed_at:
+            if sent is not None:
                 self.record_outcome(view, event, sent, now)
         if event.outcome is api.Outcome.NUMBER_BUSY and call:
             self.busy_numbers.pop(call.number, None)
@@ -416,7 +401,7 @@
         # at each of them in turn.
         unusable = event.outcome is api.Outcome.ERROR and not (view and view.is_failing())
         over = event.outcome in FINAL_OUTCOMES or unusable or call.attempts >= rules.max_attempts
-        # Answered at once: after a stall of this process its time may be up.
+        # Answered at once: nothing more can be sent in the time that is left.
         if over or call.ready_at >= self.latest_send_at(call):
             self.finish(call, now, failed=True)
 
@@ -653,7 +638,7 @@
         text = " ".join(f"{meter.rate:.2f}" for meter in meters)
         for peer in self.rng.sample(range(others), min(PEERS_MESSAGED, others)):
             self.actions.append(api.MessagePeer(peer + (peer >= self.settings.controller_index), text))
-        self.schedule_control(self.rng.uniform(0.9, 1.1), now)
+        self.schedule_control(self.rng.uniform(0.9, 1.1))
 
     def update_even_rates(self, now: float) -> None:
         """Compute the servers' even shares of the calls, and what depends on them."""
@@ -667,13 +652,12 @@
             MAX_SKIP_MS * self.time_scale, max(self.min_skip_ms, 1000 / max(self.even_arrival_rate, 1e-3))
         )
 
-    def schedule_control(self, intervals: float, now: float) -> None:
-        self.control_due_at = now + self.control_interval_ms * intervals
+    def schedule_control(self, intervals: float) -> None:
         self.actions.append(api.SetTimer(CONTROL_TIMER, self.control_interval_ms * intervals))
 
     def control_server(self, view: ServerView, seconds: float, now: float) -> None:
         """One run of the SEDA rate controller for a server, worthier classes first."""
-        sample = view.take_delay_sample(now, self.rule_set.min_target_ms, self.resumed_at)
+        sample = view.take_delay_sample(now, self.rule_set.min_target_ms)
         # A run stands for all since the last one with a sample: rates adapt as fast where samples are rare.
         span = min(MAX_SPAN, (now - view.sampled_at) / self.control_interval_ms)
         if sample is not None:
