Move the channel of an upgrade and the reading of set-ups to modules of their own

Need: net/handover.py and net/callers.py are among the largest files, and the former spoke in words of its own.

Change: net/handover_channel.py holds the channel (messages and descriptors over a Unix socket), net/setup_request.py the check of a set-up's fields. In net/handover.py a message is called so, and heard_of, _tell, _over, _answer_for, _take_place, strangers are report_call_end, _relay, _on_call_ended, _fail_owed, _listen, unidentified channels. No behaviour is changed.

--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -23,7 +23,7 @@
     caller_connections: int = 400  # from callers, over all fronts; they hold at most a third of the sockets
     accept_at_once: int = 32  # of callers' connections, in one turn of the loop
     backlog: int = 512  # connections that wait to be accepted
-    handover_strangers: int = 4  # connections at the meeting place that have not said who they are
+    handover_unidentified: int = 4  # connections at the meeting place that have not said who they are
     feed_requests: int = 3  # to the control feed that wait for their answer
     proxy_connections: int = 64  # that ask for endpoint discovery
     admin_connections: int = 16  # of operators, set aside beside callers'
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -1,6 +1,7 @@
-"""The channel between an old process and its successor: a Unix socket in a folder that both are given.
+"""Handover between an old process and its successor: finds the other process and carries out what it reports.
 
-I/O only: what is told and what it means is in sageweir.handover, calls are the exchange's.
+The two meet at a Unix socket in a folder that both are given. Messages and what follows from them are in
+sageweir.handover, and calls belong to the exchange.
 """
 
 from __future__ import annotations
@@ -8,9 +9,7 @@
 import asyncio
 import contextlib
 import logging
-import os
 import socket
-from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -26,129 +25,23 @@
     HandoverMessage,
     Hello,
     HelloReply,
-    LineDecoder,
     PassedConnection,
     RelayedMessage,
     Succession,
     TakeOver,
-    UnusableMessage,
-    encode,
 )
 from sageweir.limits import Limits
 from sageweir.messages import Cause, Kind, Message
 from sageweir.net.callers import CallerConnection, CallerSide
+from sageweir.net.handover_channel import Channel
 from sageweir.net.wire import Wire
 
 log = logging.getLogger("sageweir.handover")
 
-PLACE = "sageweir.sock"
+SOCKET_NAME = "sageweir.sock"
 RELAYED_KINDS = {kind.value: kind for kind in Kind}
 
 
-class Channel:
-    """One connection to the other process; descriptors go along with messages, so it reads and writes itself."""
-
-    def __init__(self, side: Handover, sock: socket.socket, predecessor: bool) -> None:
-        self.side, self.predecessor = side, predecessor
-        self.waiting = 0  # bytes that the other process has not taken
-        self._sock: socket.socket | None = sock
-        self._loop = asyncio.get_running_loop()
-        self._lines = LineDecoder(side.limits.handover_bytes)
-        self._queue: deque[tuple[bytes, int | None]] = deque()
-        self._found: deque[int] = deque()  # descriptors that came, in the order of their messages
-        sock.setblocking(False)
-        self._loop.add_reader(sock.fileno(), self._read)
-
-    def _read(self) -> None:
-        if self._sock is None:
-            return
-        try:
-            data, found, _, _ = socket.recv_fds(self._sock, 64 * 1024, 8)
-            self._found.extend(found)
-            if not data:
-                self.drop()
-                return
-            for word in self._lines.feed(data):
-                if isinstance(word, UnusableMessage):
-                    self._skip(word)
-                else:
-                    self.side.received(self, word)
-        except (BlockingIOError, InterruptedError):
-            return
-        except (HandoverError, OSError) as error:
-            log.warning("the other process is not listened to any more: %s", error)
-            self.drop()
-
-    def _skip(self, message: UnusableMessage) -> None:
-        """Go on after a message that can't be used. Raises HandoverError where the sender has not said who it is."""
-        # Prevents one bad message of a caller or server from parting the processes: all calls would be lost with them.
-        if not self.side.is_known(self):
-            raise HandoverError(message.reason)
-        log.warning("a %s of the other process is skipped: %s", message.message_type.__name__, message.reason)
-        if message.message_type is PassedConnection:  # descriptors are matched by order
-            self.take_socket().close()
-
-    def take_socket(self) -> socket.socket:
-        """The connection that came with the message. Raises HandoverError where none did."""
-        try:
-            sock = socket.socket(fileno=self._found.popleft())
-        except (IndexError, OSError) as error:
-            raise HandoverError(f"a connection was named and none came: {error}") from None
-        sock.setblocking(False)
-        return sock
-
-    def send(self, word: HandoverMessage, descriptor: int | None = None) -> bool:
-        """Send a message, with a descriptor that is this channel's to close; False where the other is gone."""
-        if self._sock is None:
-            if descriptor is not None:
-                os.close(descriptor)
-            return False
-        data = encode(word)
-        self._queue.append((data, descriptor))
-        self.waiting += len(data)
-        self._write()
-        if self.waiting > self.side.limits.handover_bytes:
-            log.warning("the other process reads nothing, the channel is closed")  # bounded, as all is
-            self.drop()
-        return self._sock is not None
-
-    def _write(self) -> None:
-        try:
-            while self._queue and self._sock is not None:
-                data, descriptor = self._queue[0]
-                if descriptor is None:
-                    sent = self._sock.send(data)
-                else:  # it goes with the first byte
-                    sent = socket.send_fds(self._sock, [data], [descriptor])
-                    os.close(descriptor)
-                self.waiting -= sent
-                self._queue[0] = data[sent:], None
-                if sent == len(data):
-                    self._queue.popleft()
-            if self._sock is not None:
-                self._loop.remove_writer(self._sock.fileno())
-        except (BlockingIOError, InterruptedError):
-            if self._sock is not None:
-                self._loop.add_writer(self._sock.fileno(), self._write)
-        except OSError as error:
-            log.warning("the other process can't be told: %s", error)
-            self.drop()
-
-    def drop(self) -> None:
-        """Close; what was not sent is not."""
-        if self._sock is None:
-            return
-        sock, self._sock = self._sock, None
-        self._loop.remove_reader(sock.fileno())
-        self._loop.remove_writer(sock.fileno())
-        sock.close()
-        for descriptor in [*self._found, *(d for _, d in self._queue if d is not None)]:
-            os.close(descriptor)
-        self._found.clear()
-        self._queue.clear()
-        self.side.lost(self)
-
-
 class Handover:
     """This process's way to its predecessor and to its successor."""
 
@@ -165,7 +58,7 @@
     ) -> None:
         """wire: what connections that are passed on speak."""
         self.clock, self.limits, self.exchange, self.callers, self.wire = clock, limits, exchange, callers, wire
-        self.path = folder / PLACE
+        self.path = folder / SOCKET_NAME
         self.succession = Succession(name, settings)
         self.predecessor: Channel | None = None
         self.successor: Channel | None = None
@@ -174,10 +67,10 @@
         self._stopping = False
         self._passed: dict[str, CallerConnection] = {}  # calls of the predecessor's, on connections that came from it
         self._kept: dict[str, EstablishedCall] = {}  # calls that the predecessor keeps: taken up when it is gone
-        self._named: set[str] = set()  # calls that this process keeps, and has named to its successor
+        self._announced: set[str] = set()  # calls that this process keeps, and has named to its successor
         self._tasks: set[asyncio.Task[None]] = set()
-        self._strangers: list[Channel] = []  # that have not said who they are
-        exchange.notify_other_process = self.heard_of
+        self._unidentified: list[Channel] = []  # that have not said who they are
+        exchange.notify_other_process = self.report_call_end
 
     # Starting
 
@@ -191,7 +84,7 @@
             sock.close()
             if not isinstance(error, FileNotFoundError):  # else there was none before, as on any first start
                 log.info("a cold start: nobody answers at %s: %s", self.path, error)
-            self._take_place()
+            self._listen()
             return
         self.predecessor, self.succession.has_predecessor = Channel(self, sock, True), True
         self.callers.set_part(self.succession.descriptor_share())
@@ -211,7 +104,7 @@
         if not self._known.done():
             self._known.set_result(known)
 
-    def _take_place(self) -> None:
+    def _listen(self) -> None:
         """Be found by the next process."""
         if self.succession.owns_socket or self._stopping:
             return
@@ -231,17 +124,17 @@
         if self._listener is None:
             return
         with contextlib.suppress(OSError):
-            stranger = Channel(self, self._listener.accept()[0], False)
+            channel = Channel(self, self._listener.accept()[0], False)
             # Guards against callers that say nothing here: few are waited for, and not long.
-            self._strangers.append(stranger)
-            self.clock.after(self.limits.handover_ms, lambda: self._part_from(stranger))
-            if len(self._strangers) > self.limits.handover_strangers:
-                self._part_from(self._strangers[0])
+            self._unidentified.append(channel)
+            self.clock.after(self.limits.handover_ms, lambda: self._drop_unidentified(channel))
+            if len(self._unidentified) > self.limits.handover_unidentified:
+                self._drop_unidentified(self._unidentified[0])
 
-    def _part_from(self, stranger: Channel) -> None:
-        if stranger in self._strangers:
-            self._strangers.remove(stranger)
-            stranger.drop()
+    def _drop_unidentified(self, channel: Channel) -> None:
+        if channel in self._unidentified:
+            self._unidentified.remove(channel)
+            channel.drop()
 
     # Between the two
 
@@ -249,84 +142,86 @@
         """Whether the channel leads to the predecessor or the successor."""
         return channel in (self.predecessor, self.successor)
 
-    def received(self, channel: Channel, word: HandoverMessage) -> None:
+    def received(self, channel: Channel, message: HandoverMessage) -> None:
         """One message of the other process. Raises HandoverError where it may not say that."""
-        match word:
+        match message:
             case Hello() if not channel.predecessor and self.successor is None:
-                same = self.succession.on_hello(word)
+                same = self.succession.on_hello(message)
                 self.successor = channel
-                if channel in self._strangers:
-                    self._strangers.remove(channel)
+                if channel in self._unidentified:
+                    self._unidentified.remove(channel)
                 self.callers.set_part(self.succession.descriptor_share())
                 channel.send(HelloReply(export_learned(self.exchange.controller) if same else None))
                 log.info("a successor is there%s", "" if same else ", with other settings")
                 if self._stopping:
                     self._leave()
             case HelloReply() if channel is self.predecessor:
-                self._settle(word)
+                self._settle(message)
             case TakeOver() if channel is self.predecessor:
                 self.succession.on_predecessor_leaving()
                 self.callers.set_part(self.succession.descriptor_share())
-                self._take_place()
+                self._listen()
             case PassedConnection() if channel is self.predecessor:
-                self._take_over(word, channel.take_socket())
+                self._take_connection(message, channel.take_socket())
             case RelayedMessage() if channel is self.predecessor:
-                self._tell(word)
+                self._relay(message)
             case EstablishedCall() if channel is self.predecessor:
-                self._adopt(word)
+                self._adopt(message)
             case CallEnded() if self.is_known(channel):
-                self._over(channel, word)
+                self._on_call_ended(channel, message)
             case _:
-                raise HandoverError(f"{type(word).__name__} is not its to say")
+                raise HandoverError(f"{type(message).__name__} is not its to say")
 
-    def _take_over(self, word: PassedConnection, sock: socket.socket) -> None:
+    def _take_connection(self, message: PassedConnection, sock: socket.socket) -> None:
         connection = CallerConnection(self.callers, self.wire())
-        for _ in connection.wire.feed(word.rest.encode("latin-1", "replace")):
+        for _ in connection.wire.feed(message.rest.encode("latin-1", "replace")):
             log.warning("a connection came with a whole message that was not taken")
         connection.early = []
-        connection.spoke, connection.served, connection.faults = word.spoke, word.served, word.faults
-        connection.opened_at, connection.heard_at, connection.begun_at = word.opened_at, word.heard_at, word.begun_at
-        connection.standing.update(word.standing)
-        for call, service_class in word.owed:
+        connection.spoke, connection.served, connection.faults = message.spoke, message.served, message.faults
+        connection.opened_at, connection.heard_at = message.opened_at, message.heard_at
+        connection.begun_at = message.begun_at
+        connection.standing.update(message.standing)
+        for call, service_class in message.owed:
             connection.open.add(call)
             self.exchange.predecessor_calls[call] = service_class
-        self._passed.update(dict.fromkeys([*word.standing, *(call for call, _ in word.owed)], connection))
+        self._passed.update(dict.fromkeys([*message.standing, *(call for call, _ in message.owed)], connection))
         task = asyncio.get_running_loop().create_task(self.callers.take_over(sock, connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _tell(self, word: RelayedMessage) -> None:
-        connection, kind = self._passed.get(word.call), RELAYED_KINDS.get(word.word)
+    def _relay(self, message: RelayedMessage) -> None:
+        connection, kind = self._passed.get(message.call), RELAYED_KINDS.get(message.word)
         if kind is None:
-            log.warning("call %s: a message of unknown type %r is not passed on", word.call, word.word)
+            log.warning("call %s: a message of unknown type %r is not passed on", message.call, message.word)
             return
-        if connection is None or (word.call not in connection.open and word.call not in connection.standing):
+        if connection is None or (message.call not in connection.open and message.call not in connection.standing):
             return  # its caller has ended it, or is gone
-        self.exchange.predecessor_calls.pop(word.call, None)
+        self.exchange.predecessor_calls.pop(message.call, None)
         if kind is Kind.ANSWER:
-            connection.answer(word.call, word.text)
+            connection.answer(message.call, message.text)
             return
-        del self._passed[word.call]
-        self._kept.pop(word.call, None)
-        connection.forget_call(word.call)
-        connection.send(Message(kind, word.call, word.fields, word.cause, word.text))
-
-    def _adopt(self, word: EstablishedCall) -> None:
-        if word.kept:
-            self._kept[word.call] = word
+        del self._passed[message.call]
+        self._kept.pop(message.call, None)
+        connection.forget_call(message.call)
+        connection.send(Message(kind, message.call, message.fields, message.cause, message.text))
+
+    def _adopt(self, message: EstablishedCall) -> None:
+        if message.kept:
+            self._kept[message.call] = message
             return
-        caller = self._passed.pop(word.call, None) or self.callers.at_host(word.host)
-        if not self.exchange.adopt(word, caller):
+        caller = self._passed.pop(message.call, None) or self.callers.at_host(message.host)
+        if not self.exchange.adopt(message, caller):
             # Guards against a call that nobody would end: the list here does not name its server any more.
-            log.warning("call %s: its server %s is not known here", word.call, word.server)
-            caller.release(word.call, Cause.RESET)
+            log.warning("call %s: its server %s is not known here", message.call, message.server)
+            caller.release(message.call, Cause.RESET)
 
-    def _over(self, channel: Channel, word: CallEnded) -> None:
-        if not self.exchange.on_call_end_elsewhere(word.call, word.cause, word.by_caller) and not word.returned:
+    def _on_call_ended(self, channel: Channel, message: CallEnded) -> None:
+        is_known = self.exchange.on_call_end_elsewhere(message.call, message.cause, message.by_caller)
+        if not is_known and not message.returned:
             # It crossed with the call itself, which is on its way over there.
-            channel.send(CallEnded(word.call, word.cause, word.by_caller, True))
+            channel.send(CallEnded(message.call, message.cause, message.by_caller, True))
 
-    def heard_of(self, call: str, cause: int, by_caller: bool) -> bool:
+    def report_call_end(self, call: str, cause: int, by_caller: bool) -> bool:
         """The end of a call that is not open here; True where the other process is told."""
         connection = self._passed.pop(call, None)
         if connection is not None and not by_caller:
@@ -347,15 +242,15 @@
         elif channel is self.predecessor:
             self.predecessor, self.succession.has_predecessor = None, False
             self._settle(None)
-            self._answer_for()
-            self._take_place()
+            self._fail_owed()
+            self._listen()
         self.callers.set_part(self.succession.descriptor_share())
 
-    def _answer_for(self) -> None:
+    def _fail_owed(self) -> None:
         """Give the final answers that the predecessor owed, and can't give any more; take up what it kept."""
         kept, self._kept = self._kept, {}
-        for word in kept.values():
-            self._adopt(replace(word, kept=False))
+        for message in kept.values():
+            self._adopt(replace(message, kept=False))
         owed, self.exchange.predecessor_calls = self.exchange.predecessor_calls, {}
         for call, service_class in owed.items():
             connection = self._passed.pop(call, None)
@@ -374,7 +269,7 @@
             self._leave()
 
     def _leave(self) -> None:
-        self._close_place()
+        self._stop_listening()
         if self.successor is not None:
             self.successor.send(TakeOver())
             self.hand_over()
@@ -390,16 +285,16 @@
                 break
             if connection.movable():
                 self._pass(connection, channel)
-        for word in self.exchange.hand_over_calls():
-            if word.call not in self._named:
-                channel.send(word)
-            if word.kept:
-                self._named.add(word.call)
+        for message in self.exchange.hand_over_calls():
+            if message.call not in self._announced:
+                channel.send(message)
+            if message.kept:
+                self._announced.add(message.call)
 
     def _pass(self, connection: CallerConnection, channel: Channel) -> None:
         calls = self.exchange.calls
         owed = tuple((call, calls[call].request.service_class) for call in connection.open if call in calls)
-        word = PassedConnection(
+        message = PassedConnection(
             (connection.wire.held() or b"").decode("latin-1"),
             connection.spoke,
             connection.served,
@@ -416,13 +311,13 @@
                 RelayedMessage(message.call, message.kind.value, message.cause, message.fields, message.description)
             )
 
-        channel.send(word, connection.move(relay))
+        channel.send(message, connection.move(relay))
 
     def settled(self) -> bool:
         """Whether all that was passed on has gone out."""
         return self.successor is None or not self.successor.waiting
 
-    def _close_place(self) -> bool:
+    def _stop_listening(self) -> bool:
         """Be found no more; whether this process was found before."""
         if self._listener is None:
             return False
@@ -432,7 +327,7 @@
         return True
 
     def close(self) -> None:
-        if self._close_place():
+        if self._stop_listening():
             with contextlib.suppress(OSError):
                 self.path.unlink()
         for channel in (self.predecessor, self.successor):
--- a/sageweir/pcap.py
+++ b/sageweir/pcap.py
@@ -14,8 +14,8 @@
 from sageweir.clock import SetClock
 from sageweir.exchange import Exchange
 from sageweir.messages import Cause, Kind, MalformedInput, Message
-from sageweir.net.callers import read_request
 from sageweir.net.jsonlines import JsonLines
+from sageweir.net.setup_request import read_request
 
 MICROSECONDS, NANOSECONDS = 0xA1B2C3D4, 0xA1B23C4D
 ETHERNET, RAW, LINUX_COOKED = 1, 101, 113
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -40,7 +40,7 @@
 )
 from sageweir.messages import Kind, Message
 from sageweir.net import callapi, jsonlines
-from sageweir.net.callers import read_request
+from sageweir.net.setup_request import read_request
 from tests.driving import ControllerDriver, server
 from tests.scenario import World
 from tests.test_operation import Caller, Program, platform
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -16,9 +16,9 @@
 from sageweir.messages import Kind, MalformedInput, Message
 from sageweir.net import callapi
 from sageweir.net import websocket as ws
-from sageweir.net.callers import read_request
 from sageweir.net.http import Chunks, EventStream, HeadReader, HttpError
 from sageweir.net.jsonlines import JsonLines
+from sageweir.net.setup_request import read_request
 
 ID = "9b1f03aa5c7e2d41"
 KEY = b"\x01\x02\x03\x04"
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -29,9 +29,9 @@
 from sageweir.limits import Limits
 from sageweir.messages import Message
 from sageweir.net.callapi import decode
-from sageweir.net.callers import read_request
 from sageweir.net.feed import FeedClient
 from sageweir.net.jsonlines import JsonLines
+from sageweir.net.setup_request import read_request
 from sageweir.reload import Reloader
 from tests.driving import SETTINGS
 
