Give a caller's connection a module of its own

Need: net/callers.py held one connection, the table of all and the listening sockets, over 400 lines.

Change: net/caller_connection.py has the connection, net/callers.py the table; what checks an inherited listening socket stands in net/acceptor.py as inherited_listener. No behaviour is changed.

--- a/sageweir/net/acceptor.py
+++ b/sageweir/net/acceptor.py
@@ -20,6 +20,14 @@
 CLOSING_ROUNDS = 64  # of accepting what waits, before a listener is closed
 
 
+def inherited_listener(descriptor: int) -> socket.socket:
+    """A listening socket that the platform holds. Raises OSError where the descriptor is none."""
+    listener = socket.socket(fileno=descriptor)
+    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise OSError(errno.EINVAL, "no listening socket")
+    return listener
+
+
 class Acceptor:
     """One listening socket; every connection that the system took for it is passed to a protocol, up to the end."""
 
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -32,7 +32,8 @@
 )
 from sageweir.limits import Limits
 from sageweir.messages import Cause, Kind, Message
-from sageweir.net.callers import CallerConnection, CallerSide
+from sageweir.net.caller_connection import CallerConnection
+from sageweir.net.callers import CallerSide
 from sageweir.net.handover_channel import Channel
 from sageweir.net.wire import Wire
 
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -14,7 +14,8 @@
 from sageweir.exchange import Exchange
 from sageweir.lifecycle import Lifecycle, Remaining
 from sageweir.net.acceptor import Acceptor
-from sageweir.net.callers import CallerConnection, CallerSide
+from sageweir.net.caller_connection import CallerConnection
+from sageweir.net.callers import CallerSide
 from sageweir.net.connection import Connection
 from sageweir.net.server_connection import ServerConnection
 from sageweir.net.server_link import ServerLink
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -30,7 +30,8 @@
 from sageweir.lifecycle import Lifecycle
 from sageweir.limits import Limits
 from sageweir.messages import Cause, Kind, Message
-from sageweir.net.callers import CallerConnection, CallerSide
+from sageweir.net.caller_connection import CallerConnection
+from sageweir.net.callers import CallerSide
 from sageweir.net.jsonlines import JsonLines
 from sageweir.net.server_connection import ServerConnection
 from sageweir.net.server_link import ServerLink
