Go on telling a caller that its call was not taken over in an upgrade

Callers saw: nothing, where the new process refused a call (its server gone or replaced) while they had no connection.

Cause: Handover._adopt told the caller once; every other end of a call goes through Exchange._deliver_release, which tries for 8 s.

Change: Exchange.adopt delivers the release like any other; a server that is displaced at its address is named in the log.

Test: test_the_caller_of_a_call_that_is_not_taken_over_is_told_once_it_is_connected, seen to fail before.

--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -385,13 +385,15 @@
         return handed_over
 
     def adopt(self, established: EstablishedCall, caller: Caller) -> bool:
-        """Take over an established call; False if its server is not in the list."""
+        """Take over an established call; False if its server is gone, in which case its caller is notified."""
         call_id = established.call
         if call_id in self.calls:
             return True
         request = Request(call_id, established.service_class, 0.0)
         attempt = Attempt(request, 0, established.server, established.since, 0.0, AttemptState.ESTABLISHED)
         if self.servers is None or not self.servers.adopt(attempt):
+            until = self.clock.now() + self.limits.release_for_ms
+            self._deliver_release(Call(request, caller, 1, attempt), Cause.RESET, until)
             return False
         self.calls[call_id] = Call(request, caller, 1, attempt)
         return True
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -31,7 +31,7 @@
     TakeOver,
 )
 from sageweir.limits import Limits
-from sageweir.messages import Cause, Kind, Message
+from sageweir.messages import Kind, Message
 from sageweir.net.caller_connection import CallerConnection
 from sageweir.net.callers import CallerSide
 from sageweir.net.handover_channel import Channel
@@ -212,9 +212,7 @@
             return
         caller = self._passed.pop(message.call, None) or self.callers.at_host(message.host)
         if not self.exchange.adopt(message, caller):
-            # Guards against a call that nobody would end: the list here does not name its server any more.
             log.warning("call %s: its server %s is not known here", message.call, message.server)
-            caller.release(message.call, Cause.RESET)
 
     def _on_call_ended(self, channel: Channel, message: CallEnded) -> None:
         is_known = self.exchange.on_call_end_elsewhere(message.call, message.cause, message.by_caller)
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -62,7 +62,7 @@
         if link is None:
             if self._has_newer(item.address, entry.started_ms):
                 return [replace(entry, state=api.ServerState.GONE)]
-            displaced = self._displace(item.address, entry.started_ms)
+            displaced = self._displace(item.address, entry)
             link = self.links[entry.name] = ServerLink(self, entry.name, item.address)
             link.started_ms = entry.started_ms
         link.state = entry.state
@@ -77,11 +77,12 @@
         """Whether a server that started later than that is listed at the address."""
         return any(link.address == address and link.started_ms > started_ms for link in self.links.values())
 
-    def _displace(self, address: Address, started_ms: float) -> list[api.Server]:
-        """A server that started then (0: not known) is listed at the address: those listed there before are gone."""
-        since = started_ms or self.clock.now()
+    def _displace(self, address: Address, newer: api.Server) -> list[api.Server]:
+        """Another server is listed at the address: those listed there before are gone, and are returned as such."""
+        since = newer.started_ms or self.clock.now()  # not known: no later than now
         displaced = [link for link in self.links.values() if link.address == address]
         for link in displaced:
+            log.info("%s: gone, as %s has its address %s", link.name, newer.name, address)
             self._gone(link.name)
         for link in [link for link in self.leaving if link.address == address and link.started_ms <= since]:
             link.displace(since)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -589,3 +589,19 @@
         await world.close()
 
     asyncio.run(run())
+
+
+def test_the_caller_of_a_call_that_is_not_taken_over_is_told_once_it_is_connected() -> None:
+    """Failure: such a caller was told once, and never where it had no connection at that moment."""
+
+    async def run() -> None:
+        world = World("lines")
+        await world.open(1)
+        call = EstablishedCall("b" * 16, "plain", "s9", 0.0, "127.0.0.1")  # where the test's callers come from
+        assert not world.exchange.adopt(call, world.callers.at_host(call.host))
+        for line in ("wait 500", "c: connect", "wait 200", "c< release B cause=41", "wait 9000", "c: quiet"):
+            await world.line(line)
+        assert not world.exchange.open_obligations()
+        await world.close()
+
+    asyncio.run(run())
