--- a/sageweir/lab/commands.py
+++ b/sageweir/lab/commands.py
@@ -307,3 +307,32 @@
         from sageweir.lab.coldstart import coldstart as run
 
         _finish(run(proxies, servers, load, processes), json_path, None, "", 0.0)
+
+    @group.command()
+    @click.argument("tests", nargs=-1, required=True)
+    @click.option("--plays", default=10, show_default=True, help="Of each case.")
+    @click.option("--busy", default=0, show_default=True, help="Busy processes beside them.")
+    @click.option("--concurrency", default=4, show_default=True, help="Plays at a time.")
+    @click.option("--out", type=click.Path(dir_okay=False, path_type=Path), required=True, help="JSON lines, appended.")
+    @click.option("--kept", type=click.Path(file_okay=False, path_type=Path), help="For files of failed plays.")
+    def cases(tests: tuple[str, ...], plays: int, busy: int, concurrency: int, out: Path, kept: Path | None) -> None:
+        """Plays cases of several processes many times; TESTS: their ids, or files in which ids begin the lines."""
+        from sageweir.lab.flaky import Case, play_all, write
+
+        names = [
+            name for test in tests for name in (Path(test).read_text().splitlines() if "::" not in test else [test])
+        ]
+        found = [Case.parse(name.partition(" | ")[0]) for name in names if "::test_processes[" in name]
+        ended = asyncio.run(play_all(found, plays, busy, concurrency, kept))
+        write(ended, out)
+        failed = sum(bool(play.error) for play in ended)
+        click.echo(f"{len(ended) - failed} passed, {failed} failed")
+        sys.exit(1 if failed else 0)
+
+    @group.command()
+    @click.argument("files", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path))
+    def cases_table(files: tuple[Path, ...]) -> None:
+        """Tabulates plays of cases by load, as Markdown."""
+        from sageweir.lab.flaky import read, table
+
+        click.echo("\n".join(table(play for file in files for play in read(file))))
--- a/sageweir/lab/faults/rig.py
+++ b/sageweir/lab/faults/rig.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -83,6 +84,8 @@
 class FleetRig:
     """`async with FleetRig(names, script=...) as rig: await rig.play()`."""
 
+    kept_folder: Path | None = None  # where the files of a fleet are copied to after an error
+
     def __init__(
         self,
         names: Sequence[str],
@@ -144,6 +147,8 @@
     ) -> None:
         if error is not None and self.script:
             print(f"seed {self.seed}; the fault script, to be played again:\n{dump(self.script)}", file=sys.stderr)
+        if error is not None and self.kept_folder is not None:
+            shutil.copytree(self._folder.name, self.kept_folder, dirs_exist_ok=True)
         await self.close()
 
     async def close(self) -> None:
--- a/tests/test_cluster_duties_fleet.py
+++ b/tests/test_cluster_duties_fleet.py
@@ -237,9 +237,13 @@
 ALL = [*DUTY_CASES, *MORE]
 
 
+async def play_case(case: str) -> None:
+    await MORE.get(case, run_script)(case)
+
+
 @pytest.fixture(scope="module")
 def outcomes() -> Outcomes:
-    return run_cases(ALL, lambda case: MORE.get(case, run_script)(case), CONCURRENT_CASES)
+    return run_cases(ALL, play_case, CONCURRENT_CASES)
 
 
 @pytest.mark.parametrize("case", ALL)
--- a/tests/test_cluster_fleet.py
+++ b/tests/test_cluster_fleet.py
@@ -146,9 +146,13 @@
 ALL_CASES = [*CASES, *LIES, *MORE_CASES]
 
 
+async def play_case(case: str) -> None:
+    await MORE_CASES.get(case, run_fault_case)(case)
+
+
 @pytest.fixture(scope="module")
 def outcomes() -> Outcomes:
-    return run_cases(ALL_CASES, lambda case: MORE_CASES.get(case, run_fault_case)(case), CONCURRENCY)
+    return run_cases(ALL_CASES, play_case, CONCURRENCY)
 
 
 @pytest.mark.parametrize("case", ALL_CASES)
--- a/tests/test_cluster_works.py
+++ b/tests/test_cluster_works.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import tempfile
 import time
 import typing
 from pathlib import Path
@@ -742,20 +743,28 @@
         assert proxy.went_back()
 
 
-CASES: dict[str, Any] = {"a silent server": silent_server, "a cold server": cold_server}
+async def one_line_of_versions(case: str) -> None:
+    with tempfile.TemporaryDirectory(prefix="control-") as folder:
+        await publish(Path(folder))
 
 
-@pytest.fixture(scope="module")
-def outcomes(tmp_path_factory: pytest.TempPathFactory) -> Outcomes:
-    """All at once."""
+CASES: dict[str, Any] = {
+    "a silent server": silent_server,
+    "a cold server": cold_server,
+    "one line of versions": one_line_of_versions,
+}
+
 
-    async def play(case: str) -> None:
-        await (CASES[case](case) if case in CASES else publish(tmp_path_factory.mktemp("control")))
+async def play_case(case: str) -> None:
+    await CASES[case](case)
 
-    return run_cases([*CASES, "one line of versions"], play, 3)
+
+@pytest.fixture(scope="module")
+def outcomes() -> Outcomes:
+    return run_cases(CASES, play_case, 3)
 
 
-@pytest.mark.parametrize("case", [*CASES, "one line of versions"])
+@pytest.mark.parametrize("case", CASES)
 def test_processes(case: str, outcomes: Outcomes) -> None:
     if (error := outcomes[case]) is not None:
         raise error
--- a/tests/test_ledger_fleet.py
+++ b/tests/test_ledger_fleet.py
@@ -176,9 +176,13 @@
 }
 
 
+async def play_case(case: str) -> None:
+    await CASES[case](case)
+
+
 @pytest.fixture(scope="module")
 def outcomes() -> Outcomes:
-    return run_cases(CASES, lambda case: CASES[case](case), AT_ONCE)
+    return run_cases(CASES, play_case, AT_ONCE)
 
 
 @pytest.mark.parametrize("case", CASES)
--- a/tests/test_program_fleet.py
+++ b/tests/test_program_fleet.py
@@ -143,9 +143,13 @@
 }
 
 
+async def play_case(case: str) -> None:
+    await CASES[case](case)
+
+
 @pytest.fixture(scope="module")
 def outcomes() -> Outcomes:
-    return run_cases(CASES, lambda case: CASES[case](case), PARALLEL_CASES)
+    return run_cases(CASES, play_case, PARALLEL_CASES)
 
 
 @pytest.mark.parametrize("case", CASES)
