Elect and keep a holder where voters' disks, or replies, are slow

Cause: a candidate gave a term up after a fixed 1/16 to 1/4 of a lease and asked for the next one, while voters had granted within 3 ms and only waited for their disk (audits of a fleet without a holder for 11 s: each term granted by all voters, none taken). Each new term was one more write before the next grant. Renewals waited behind these writes too, and a reply to a renewal counted for the newest request alone. The register's replicas wrote the same promise anew for each repeated request.

Change: voters reserve terms on disk ahead of time, so grants do not wait for a write; one write at a time serves all that wait (GroupCommit), also in the register; a role's reply waits for that role's term alone; candidates wait as long as replies take (RFC 6298) within 1/16 and 1/2 of a lease; late replies to renewals count from when their request was sent. `sageweir cluster` says what became of the last request, and how long the voter's last write took.

The point of one mutant's crash is another, as the fleet sends other messages now (670 is not among the ones that find it, 680 to 686 are).

Ruled out: load of the cores (the cases failed least beside 16 busy processes), membership (alike before each election), rivals (one candidate alone failed as well).

--- a/sageweir/cluster/changes/disk.py
+++ b/sageweir/cluster/changes/disk.py
@@ -32,6 +32,10 @@
     sequence: int
     body: Annotated[bytes, Meta(max_length=MAX_BODY_BYTES)]
 
+    def covers(self, other: ReplicaRecord) -> bool:
+        """Whether this record on the disk serves for another: no earlier promise, no earlier entry."""
+        return self.promised >= other.promised and (self.term, self.sequence) >= (other.term, other.sequence)
+
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True, tag="known"):
     """A member's floor of ended rollouts, and its baselines."""
--- a/sageweir/cluster/changes/service.py
+++ b/sageweir/cluster/changes/service.py
@@ -50,6 +50,7 @@
 from sageweir.cluster.changes.program import ProgramSelector, fingerprint, read_program
 from sageweir.cluster.changes.register import Out, Replica, Writer
 from sageweir.cluster.changes.tally import Tally, memory_kb
+from sageweir.cluster.group_commit import GroupCommit
 from sageweir.cluster.leases.messages import Name
 from sageweir.cluster.member import FleetMember
 from sageweir.cluster.messages import State
@@ -247,6 +248,7 @@
         self._last_wait_reason = ""
         self._fetch_times: dict[str, float] = {}
         self._writer = ThreadPoolExecutor(1, "changes-disk")
+        self._replica_commits = GroupCommit(self._write, ReplicaRecord.covers, fleet.limits.cluster_writes)
         self._pending_writes = 0
         self._timer: Timer | None = None
         self._closed = False
@@ -526,9 +528,8 @@
             self._send(to, reply)
             return
         state = self.replica.persisted_state()
-        record = ReplicaRecord(state.promised, *state.entry.ballot, state.entry.body)
-        self._write(
-            record,
+        self._replica_commits.submit(
+            ReplicaRecord(state.promised, *state.entry.ballot, state.entry.body),
             lambda: self._send(to, reply),
             lambda reason: log.warning("register reply not sent, its state is not on the disk: why=%s", reason),
         )
@@ -541,7 +542,7 @@
             return
         self._pending_writes += 1
         fault = self.fleet.failpoint(f"{DISK_FAILPOINTS[type(record)]}'s disk")
-        write = partial(failpoints.fail_write if fault == "disk" else self.disk.write, record)
+        write = partial(failpoints.write_with_fault, fault, partial(self.disk.write, record))
         task = asyncio.get_running_loop().run_in_executor(self._writer, write)
 
         def on_written(task: asyncio.Future[None]) -> None:
--- a/sageweir/cluster/failpoints.py
+++ b/sageweir/cluster/failpoints.py
@@ -3,6 +3,7 @@
 Active only where deploy/cluster.json names a file of faults; otherwise `no_failpoint` is used, which does nothing. The
 file's `point` arms one by its name and the number of the pass at which the fault occurs: {"arm": 3, "name": "send Put",
 "number": 2, "kind": "lost"}. A new value of `arm` resets the counts. With an empty kind, passes are only counted.
+With "slow_disk": true, all writes to the disk are slow.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import logging
 import os
 import signal
+import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
@@ -18,6 +20,8 @@
 import orjson
 
 log = logging.getLogger("sageweir.cluster")
+SLOW_DISK = "slow disk"
+SLOW_WRITE_S = 0.4
 FAULT_KINDS = ("crash before", "crash after", "lost", "doubled", "late", "disk", "stopped")
 Failpoint = Callable[[str], str]  # takes a failpoint's name, returns the kind of the fault due there, or ""
 
@@ -34,9 +38,13 @@
         self.arm_number, self.fault = 0, ("", 0, "")
         self.counts: Counter[str] = Counter()
         self.hit = ""
+        self._slow_disk = False
 
     def __call__(self, name: str) -> str:
         self._reload_if_changed()
+        return self._armed_fault(name) or (SLOW_DISK if self._slow_disk and name.endswith("'s disk") else "")
+
+    def _armed_fault(self, name: str) -> str:
         if not self.arm_number:
             return ""
         self.counts[name] += 1
@@ -56,12 +64,14 @@
             status = os.stat(self._path)
             if (version := (status.st_mtime_ns, status.st_ino)) == self._file_version:
                 return
-            raw = orjson.loads(self._path.read_bytes()).get("point") or {"arm": 0}
+            faults = orjson.loads(self._path.read_bytes())
+            raw = faults.get("point") or {"arm": 0}
+            slow_disk = bool(faults.get("slow_disk", False))
             arm_number = int(raw["arm"])
             fault = str(raw.get("name", "")), int(raw.get("number", 0)), str(raw.get("kind", ""))
         except (OSError, ValueError, KeyError, TypeError, AttributeError):
             return
-        self._file_version = version
+        self._file_version, self._slow_disk = version, slow_disk
         if arm_number != self.arm_number:
             self.arm_number, self.fault, self.hit = arm_number, fault, ""
             self.counts.clear()
@@ -71,9 +81,13 @@
         return {"arm": self.arm_number, "hit": self.hit, "counts": dict(self.counts)}
 
 
-def fail_write(what: object) -> None:
-    """Stands in for a write when the fault is `disk`. Raises OSError."""
-    raise OSError(errno.EIO, os.strerror(errno.EIO))
+def write_with_fault(kind: str, write: Callable[[], None]) -> None:
+    """Write to the disk subject to a fault: the write may fail, or be slow. Raises OSError."""
+    if kind == "disk":
+        raise OSError(errno.EIO, os.strerror(errno.EIO))
+    if kind == SLOW_DISK:
+        time.sleep(SLOW_WRITE_S)
+    write()
 
 
 def operation_done(kind: str) -> None:
--- a/sageweir/cluster/leases/candidate.py
+++ b/sageweir/cluster/leases/candidate.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
 
 from sageweir.cluster.leases.messages import LeaseRelease, LeaseReply, LeaseRequest, Message, Transfer
+from sageweir.cluster.leases.round_trip import RoundTripEstimate
 from sageweir.cluster.leases.voter import Timing
 
 NEVER = float("-inf")
@@ -20,6 +22,13 @@
 # How long a candidate waits after the holder's last heartbeat, as fractions of a lease (drawn from this range); an idle
 # holder sends a heartbeat each third of a lease.
 HEARTBEAT_TIMEOUT = (0.36, 0.44)
+# Fractions of a lease: how long a candidate waits for the voters before it knows how long their replies take, at least,
+# and at most. The longest leaves the new holder time to renew.
+INITIAL_TIMEOUT = 1 / 8
+MIN_TIMEOUT = 1 / 16
+MAX_TIMEOUT = 1 / 2
+TRANSFER_TIMEOUT = 1 / 4  # as long as the role stays reserved for the next holder
+EARLIER_ROUNDS = 4  # whose late replies are still used
 Out = tuple[str, Message]  # the receiver and the message
 
 
@@ -42,6 +51,7 @@
     grants: set[str] = field(default_factory=set)
     refusals: set[str] = field(default_factory=set)
     waits: list[float] = field(default_factory=list)  # the waiting times in the refusals, ms
+    renewal: bool = False  # sent while the lease was held
 
 
 class Candidate:
@@ -65,6 +75,9 @@
         self.state = b""  # the state that the previous holder sent with the transfer
         self.why = "started"
         self.round: Round | None = None
+        self.earlier_rounds: deque[Round] = deque(maxlen=EARLIER_ROUNDS)
+        self.round_trip = RoundTripEstimate()
+        self.last_failure = ""  # what became of the last request that a majority did not grant, for operators
         self.next_holder = ""
         self.failures = 0  # requests without a majority in a row, at most 5
         self.quick_retries = 0  # left after a transfer to this member
@@ -89,6 +102,7 @@
         if now < self._last:
             # After a step back the clock does not tell how old the lease and the open request are: both count as over.
             self.until, self.round = NEVER, None
+            self.earlier_rounds.clear()
             self._at = min(self._at, now + self.timing.lease_ms / 4)
         self._last = now
 
@@ -122,21 +136,36 @@
         self.highest_term = max(self.highest_term, reply.highest_term)
         if reply.holder:
             self.holder = reply.holder
-        if self.round is None or reply.number != self.round.number or reply.term != self.term:
+        round_ = self._round_of(now, reply)
+        if round_ is None or reply.term != self.term:
             return []
         if self.stage in (Stage.HOLDING, Stage.TRANSFERRING) and now >= self.until:
             return self._lose(now, "lease expired")  # final: a late reply does not bring the term back
-        if reply.voter in self.round.grants or reply.voter in self.round.refusals:
-            return []
-        (self.round.grants if reply.granted else self.round.refusals).add(reply.voter)
+        (round_.grants if reply.granted else round_.refusals).add(reply.voter)
         if not reply.granted:
-            self.round.waits.append(reply.wait_ms)
-        if len(self.round.grants) >= self.majority:
-            return self._on_majority(now, self.round)
-        if len(self.round.refusals) > len(self.voters) - self.majority and self.stage is not Stage.HOLDING:
+            round_.waits.append(reply.wait_ms)
+        if len(round_.grants) >= self.majority:
+            return self._on_majority(now, round_)
+        if len(round_.refusals) > len(self.voters) - self.majority and self.stage is not Stage.HOLDING:
             return self._give_up(now)
         return []
 
+    def _round_of(self, now: float, reply: LeaseReply) -> Round | None:
+        """Returns the round that a voter's first reply counts for; an earlier round counts if it was a renewal.
+
+        Every first reply tells how long replies take, also one that is too late to count.
+        """
+        rounds = [*self.earlier_rounds, *([self.round] if self.round is not None else [])]
+        round_ = next((one for one in rounds if one.number == reply.number), None)
+        if round_ is None or reply.voter in round_.grants or reply.voter in round_.refusals:
+            return None
+        if reply.voter != self.name:
+            self.round_trip.add(now - round_.asked_at)
+        if round_ is self.round or (round_.renewal and self.stage is Stage.HOLDING):
+            return round_
+        (round_.grants if reply.granted else round_.refusals).add(reply.voter)
+        return None
+
     def install_voters(self, now: float, voters: tuple[str, ...], version: int) -> list[Out]:
         """Installs another voter list. A held lease goes on; an open request is given up and sent anew."""
         self._check_clock(now)
@@ -144,6 +173,7 @@
             return []
         out = self._give_up(now) if self.stage in (Stage.PRE_VOTE, Stage.REQUESTING) else []
         self.voters, self.version, self.round = voters, version, None
+        self.earlier_rounds.clear()
         if self.stage is Stage.HOLDING:
             self._at = now
         return out
@@ -169,12 +199,21 @@
         if not pre_vote:
             # Guards against a second request for a term that was given up: its release may arrive after the new grant.
             self.highest_term = max(self.highest_term, self.term)
-        # Replies may be late or lost; after failed rounds the timeout is longer.
-        return self._send_request(now, pre_vote, self.timing.lease_ms / 4 * 2.0 ** min(0, self.failures - 2))
+        return self._send_request(now, pre_vote, self._timeout())
+
+    def _timeout(self) -> float:
+        """Returns how long to wait for the voters, ms: as long as replies take, and longer after failed rounds."""
+        shortest = MIN_TIMEOUT if self.round_trip.known else INITIAL_TIMEOUT
+        if self.quick_retries:
+            shortest = TRANSFER_TIMEOUT
+        waited = max(shortest * 2.0**self.failures * self.timing.lease_ms, self.round_trip.timeout_ms)
+        return min(waited, MAX_TIMEOUT * self.timing.lease_ms)
 
     def _send_request(self, now: float, pre_vote: bool, timeout: float) -> list[Out]:
+        if self.round is not None:
+            self.earlier_rounds.append(self.round)
         self._number += 1
-        self.round = Round(self._number, now)
+        self.round = Round(self._number, now, renewal=self.stage is Stage.HOLDING)
         self._at = now + timeout
         request = LeaseRequest(
             self.role, self.term, self.name, self.boot, self._number, self.version, pre_vote, *self.released_lease
@@ -191,18 +230,24 @@
             source = (
                 f"transferred by {self.released_lease[1]}, " if self.released_lease[1] and self.quick_retries else ""
             )
+            self.quick_retries = 0
             self.why, self.released_lease = f"{source}granted by {', '.join(sorted(round_.grants))}", (0, "", 0)
-        self.round, self.failures = None, 0
+        if round_ is self.round:
+            self.round = None
+        self.failures, self.last_failure = 0, ""
         self.until = max(self.until, round_.asked_at + self.timing.holder_ms)
         if now >= self.until:
             return self._lose(now, "granted too late")
         self.stage, self.holder, self.highest_term = Stage.HOLDING, self.name, max(self.highest_term, self.term)
-        self._at = min(now + self.timing.lease_ms / 3, self.until)
+        self._at = max(now, min(round_.asked_at + self.timing.lease_ms / 3, self.until))
         return []
 
     def _give_up(self, now: float) -> list[Out]:
         """Ends a round without a majority: releases what was granted and schedules the next try at a random time."""
         asked, waits = self.stage is Stage.REQUESTING, self._voters_free_in(self.round)
+        if self.round is not None:
+            self.last_failure = self._describe(now, self.round)
+            self.earlier_rounds.append(self.round)
         self.stage, self.round = Stage.IDLE, None
         self.failures = min(5, self.failures + 1) if asked or not waits else 0
         if self.quick_retries:
@@ -215,6 +260,22 @@
         self._at = now + (0.0 if asked else waits) + self.rng.uniform(0.1, 1.0) * spread
         return self._release("") if asked else []
 
+    def _describe(self, now: float, round_: Round) -> str:
+        """Returns what became of a round without a majority, for operators."""
+        silent = [name for name in self.voters if name not in round_.grants | round_.refusals]
+        asked = "pre-vote" if self.stage is Stage.PRE_VOTE else "request"
+        replies = [
+            f"{word} {', '.join(sorted(names))}"
+            for word, names in (
+                ("granted by", round_.grants),
+                ("refused by", round_.refusals),
+                ("no reply from", silent),
+            )
+            if names
+        ]
+        waited = f"after {now - round_.asked_at:.0f} ms, replies take {self.round_trip.smoothed_ms:.0f} ms"
+        return f"{asked} for term {self.term} failed: {'; '.join(replies)}; {waited}"
+
     def _voters_free_in(self, round_: Round | None) -> float:
         """Returns when a majority of voters may be free again, by the waiting times in their refusals; ms."""
         waits = sorted([0.0] * len(round_.grants) + round_.waits) if round_ is not None else []
@@ -239,6 +300,7 @@
         if self.held_term(now) is None or self.stage is not Stage.HOLDING or to == self.name:
             return []
         self.stage, self.next_holder, self.round = Stage.TRANSFERRING, to, None
+        self.earlier_rounds.clear()
         self._at = min(self.until, now + self.timing.lease_ms / 4)
         return [(to, Transfer(self.role, self.term, self.name, self.boot, state))]
 
--- a/sageweir/cluster/leases/service.py
+++ b/sageweir/cluster/leases/service.py
@@ -18,7 +18,8 @@
 from typing import Any, Protocol
 
 from sageweir.clock import Clock, Timer
-from sageweir.cluster.failpoints import Failpoint, fail_write, no_failpoint, operation_done, send_with_fault
+from sageweir.cluster.failpoints import Failpoint, no_failpoint, operation_done, send_with_fault, write_with_fault
+from sageweir.cluster.group_commit import GroupCommit
 from sageweir.cluster.leases.candidate import Candidate, Stage
 from sageweir.cluster.leases.fence import Fence
 from sageweir.cluster.leases.messages import (
@@ -44,6 +45,7 @@
     VoterListQuery,
 )
 from sageweir.cluster.leases.store import PersistedState, VoterStore
+from sageweir.cluster.leases.term_reservation import RESERVED_TERMS, covers, replace_terms, reserve
 from sageweir.cluster.leases.voter import Timing, Voter
 from sageweir.cluster.leases.voter_change import VoterListChange
 from sageweir.cluster.leases.wire import decode_envelope, encode_envelope
@@ -58,6 +60,14 @@
 Out = Iterable[tuple[str, Message]]
 
 
+def _nothing() -> None:
+    """Stands in where nobody waits for a write."""
+
+
+def _ignore_reason(reason: str) -> None:
+    """Stands in where a failed write is told elsewhere."""
+
+
 class RoleHandler(Protocol):
     """The logic of one role: what its holder does, and how other members use the holder's messages. Pure."""
 
@@ -153,7 +163,7 @@
         now = clock.now()
         self.voter: Voter | None = None
         self._accepted_list: dict[str, str] = {}  # the next voter list, as accepted by this voter
-        self._persisted: PersistedState | None = None  # the state on disk; None if a write failed
+        self._commits = GroupCommit(self._write, covers, limits.cluster_writes, reserve)
         if me.name in self.voter_addresses:
             self._create_voter(now, persisted)
         self.fence = Fence()
@@ -179,7 +189,6 @@
         self.change_report = ""  # for operators: progress of the last change of the voter list
         self.unreadable = self.refused = self.sent = 0
         self._writer = ThreadPoolExecutor(1, "electors-file")
-        self._pending_writes = 0
         self._timer: Timer | None = None
         self._list_queried_at = float("-inf")
         self._change_poll_at = 0.0
@@ -416,7 +425,7 @@
                         to_boot=body.boot,
                         real_ms=time.monotonic() * 1000,
                     )
-                    self._persist(lambda: reply(lease_reply))
+                    self._persist(lambda: reply(lease_reply), body.role)
                 else:
                     reply(lease_reply)
             case LeaseRelease() if voter is not None:
@@ -542,41 +551,44 @@
 
     # The disk
 
-    def _persist(self, then: Callable[[], None] | None) -> None:
-        """Persists the voter's state, then calls `then`; does not call it if the write fails."""
-        voter = self.voter
-        accepted = (
-            (voter.accepted[0], self._accepted_list) if voter is not None and voter.accepted is not None else None
-        )
-        persisted = PersistedState(
-            voter.persisted_terms().terms if voter is not None else {}, self.version, self.voter_addresses, accepted
-        )
-        if voter is None or self.store.path is None or (persisted == self._persisted and not self._pending_writes):
-            if then is not None:
-                then()
-            return
-        if self._pending_writes >= self.limits.cluster_writes:
-            log.warning("grant not sent: why=%d writes wait for the disk", self._pending_writes)
+    def _persist(self, then: Callable[[], None] | None, role: str = "") -> None:
+        """Persists the voter's state, then calls `then`; does not call it if the write fails.
+
+        role: `then` waits for this role's term only; by default for the whole state.
+        """
+        then = then if then is not None else _nothing
+        if self.voter is None or self.store.path is None:
+            then()
             return
-        self._persisted = persisted
-        self._pending_writes += 1
+        state = PersistedState(
+            self.voter.persisted_terms().terms,
+            self.version,
+            self.voter_addresses,
+            (self.voter.accepted[0], self._accepted_list) if self.voter.accepted is not None else None,
+        )
+        required = replace_terms(state, {role: state.terms[role]}) if role else state
+        self._commits.submit(state, then, self._on_not_persisted, required)
+        # Ahead of time, so that grants need not wait for the disk.
+        self._commits.submit(reserve(state, RESERVED_TERMS // 2), _nothing, _ignore_reason)
+
+    def _write(self, state: PersistedState, on_success: Callable[[], None], on_failure: Callable[[str], None]) -> None:
         kind = self.point("elector's disk")
-        write = partial(fail_write, persisted) if kind == "disk" else partial(self.store.write, persisted)
+        write = partial(write_with_fault, kind, partial(self.store.write, state))
         task = asyncio.get_running_loop().run_in_executor(self._writer, write)
-        task.add_done_callback(partial(self._on_persisted, then, kind))
 
-    def _on_persisted(self, then: Callable[[], None] | None, kind: str, task: asyncio.Future[None]) -> None:
-        operation_done(kind)
-        self._pending_writes -= 1
-        if self._closed or task.cancelled():
-            return
-        if (error := task.exception()) is not None:
-            self._persisted = None
-            log.warning(
-                "voter does not reply, its state file cannot be written: file=%s why=%s", self.store.path, error
-            )
-        elif then is not None:
-            then()
+        def on_written(task: asyncio.Future[None]) -> None:
+            operation_done(kind)
+            if self._closed or task.cancelled():
+                return
+            if (error := task.exception()) is not None:
+                on_failure(str(error))
+            else:
+                on_success()
+
+        task.add_done_callback(on_written)
+
+    def _on_not_persisted(self, reason: str) -> None:
+        log.warning("voter does not reply, its state file cannot be written: file=%s why=%s", self.store.path, reason)
 
     # The voter list
 
@@ -707,6 +719,7 @@
                 "said_ms_ago": None if own_term is not None or not term else round(now - at),
                 "here": local.candidate.stage.value,
                 "why_here": local.candidate.why,
+                "last_failure": local.candidate.last_failure,
                 "why": local.candidate.why if own_term is not None else self.holder_reasons.get(role, ""),
                 "acts": local.acts,
                 "fence": self.fence.highest.get(role, 0),
@@ -732,5 +745,6 @@
                     d: p.next_holder or p.candidate for d, p in voter.promises.items() if p.until > voter.elapsed_ms
                 },
                 "writes": self.store.writes,
+                "last_write_ms": round(self.store.last_write_ms, 1),
             }
         return status
--- a/sageweir/cluster/leases/store.py
+++ b/sageweir/cluster/leases/store.py
@@ -8,6 +8,7 @@
 
 import logging
 import os
+import time
 import zlib
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -30,10 +31,11 @@
 
 @dataclass(slots=True)
 class VoterStore:
-    """path: the file; None: nothing is persisted. writes: completed writes, for operators."""
+    """path: the file; None: nothing is persisted. writes, last_write_ms: completed writes, for operators."""
 
     path: Path | None
     writes: int = field(default=0)
+    last_write_ms: float = field(default=0.0)
 
     def read(self) -> PersistedState | None:
         """Returns the persisted state; None if there is no file or it is damaged."""
@@ -54,6 +56,7 @@
         """Replaces the file and syncs it and its directory before it returns. Raises OSError."""
         if self.path is None:
             return
+        began = time.monotonic()
         body = msgspec.msgpack.encode(state)
         temporary = self.path.with_suffix(".new")
         with temporary.open("wb") as file:
@@ -67,3 +70,4 @@
         finally:
             os.close(directory)
         self.writes += 1
+        self.last_write_ms = (time.monotonic() - began) * 1000
--- a/sageweir/cluster/show.py
+++ b/sageweir/cluster/show.py
@@ -20,7 +20,8 @@
     lines = []
     for role, lease in shown.get("duties", {}).items():
         if lease["holder"] is None:
-            lines.append(f"{role}: NOBODY is known to hold it; here {lease['here']} ({lease['why_here']})")
+            why = lease.get("last_failure") or "no request has failed here"
+            lines.append(f"{role}: NOBODY is known to hold it; here {lease['here']} ({lease['why_here']}); {why}")
             continue
         when = "by itself" if lease["said_ms_ago"] is None else _ago(lease["said_ms_ago"])
         lines.append(
@@ -35,7 +36,10 @@
         if (voter := shown["elector"]) is not None:
             status = "takes part" if voter["takes_part"] else "stays out until it knows what the others remember"
             promises = ", ".join(f"{role} to {candidate}" for role, candidate in voter["bound_to"].items()) or "nothing"
-            lines.append(f"this one is an elector: {status}; bound for {promises}")
+            lines.append(
+                f"this one is an elector: {status}; bound for {promises}; "
+                f"its last write took {voter.get('last_write_ms', 0.0):.0f} ms"
+            )
     return lines
 
 
--- a/sageweir/lab/change_mutants.py
+++ b/sageweir/lab/change_mutants.py
@@ -132,7 +132,7 @@
 
 MUTANTS: dict[str, Mutant] = {
     "answers are counted twice": Mutant({"writer": CountsTwice}),
-    "a new holder begins with an empty book": Mutant({"writer": SkipsReading}, ((1, {670: "crash after"}),)),
+    "a new holder begins with an empty book": Mutant({"writer": SkipsReading}, ((1, {683: "crash after"}),)),
     "a new holder reads nothing": Mutant({"writer": ClaimsNothing}, ((1, {883: "crash after"}),)),
     "permits before the stage is written": Mutant({"engine": ActsBeforeWritten}),
     "a permit never ends": Mutant({"follower": NeverEnds}, cut=True),
--- a/sageweir/lab/commands.py
+++ b/sageweir/lab/commands.py
@@ -308,6 +308,21 @@
 
         _finish(run(proxies, servers, load, processes), json_path, None, "", 0.0)
 
+    @group.command()
+    @click.option("--fleets", default=4, show_default=True, help="At a time.")
+    @click.option("--kills", default=25, show_default=True, help="In each fleet.")
+    @click.option("--busy", default=0, show_default=True, help="Busy processes beside them.")
+    @_json
+    @_plot
+    def failover(fleets: int, kills: int, busy: int, json_path: Path | None, plot: Path | None) -> None:
+        """How long a role has no holder after its holder was killed."""
+        from sageweir.lab.failover import BUSY_BOUND_PERIODS, QUIET_BOUND_PERIODS
+        from sageweir.lab.failover import failover as run
+
+        bound = BUSY_BOUND_PERIODS if busy else QUIET_BOUND_PERIODS
+        title = f"Without a holder after a crash, beside {busy} busy processes"
+        _finish(run(fleets, kills, busy), json_path, plot, title, bound, "periods from the kill", "periods")
+
     @group.command()
     @click.argument("tests", nargs=-1, required=True)
     @click.option("--plays", default=10, show_default=True, help="Of each case.")
@@ -317,14 +332,13 @@
     @click.option("--kept", type=click.Path(file_okay=False, path_type=Path), help="For files of failed plays.")
     def cases(tests: tuple[str, ...], plays: int, busy: int, concurrency: int, out: Path, kept: Path | None) -> None:
         """Plays cases of several processes many times; TESTS: their ids, or files in which ids begin the lines."""
-        from sageweir.lab.flaky import Case, play_all, write
+        from sageweir.lab.flaky import Case, play_all
 
         names = [
             name for test in tests for name in (Path(test).read_text().splitlines() if "::" not in test else [test])
         ]
         found = [Case.parse(name.partition(" | ")[0]) for name in names if "::test_processes[" in name]
-        ended = asyncio.run(play_all(found, plays, busy, concurrency, kept))
-        write(ended, out)
+        ended = asyncio.run(play_all(found, plays, busy, concurrency, out, kept))
         failed = sum(bool(play.error) for play in ended)
         click.echo(f"{len(ended) - failed} passed, {failed} failed")
         sys.exit(1 if failed else 0)
--- a/sageweir/lab/faults/rig.py
+++ b/sageweir/lab/faults/rig.py
@@ -102,14 +102,16 @@
         electors: int = 0,
         lease_ms: float = 1000.0,
         changes: dict[str, float] | None = None,
+        slow_disk: bool = False,
     ) -> None:
         """seeds: how many members are in the join list; feed: a feed stand-in's port; later: names that are not started
         at first; held: names whose listening sockets the rig holds, as the platform does for upgrades;
-        electors: how many of the members, from the first on; changes: of cluster.json, where there are any.
+        electors: how many of the members, from the first on; changes: of cluster.json, where there are any;
+        slow_disk: whether every write of leases and rollouts takes long.
         """
         self.names, self.script, self.seed, self.period_ms = list(names), list(script), seed, period_ms
         self.remember_ms, self.feed, self.later, self.zones = remember_ms, feed, set(later), zones
-        self.electors, self.lease_ms, self.changes = electors, lease_ms, changes
+        self.electors, self.lease_ms, self.changes, self.slow_disk = electors, lease_ms, changes, slow_disk
         self.held = {name: socket.create_server(("127.0.0.1", 0)) for name in held}
         self.tuning = Tuning(period_ms=period_ms, remember_ms=remember_ms)
         self.draw, self.links, self.seen = Random(seed), Links(), Seen()
@@ -211,6 +213,8 @@
                 }
             )
         )
+        if self.slow_disk:
+            self._clock(place)
         config = {
             "name": place.name,
             "listen": f"127.0.0.1:{client}",
@@ -458,7 +462,8 @@
         for key, value in change.items():
             setattr(place, key, value)
         fresh = place.folder / "clock.new"
-        fresh.write_bytes(orjson.dumps({"speed": place.speed, "jumped_ms": place.jumped_ms, "point": place.point}))
+        faults = {"speed": place.speed, "jumped_ms": place.jumped_ms, "point": place.point}
+        fresh.write_bytes(orjson.dumps(faults | {"slow_disk": self.slow_disk}))
         fresh.replace(place.folder / "clock.json")
 
     # Numbered points
--- a/sageweir/lab/flaky.py
+++ b/sageweir/lab/flaky.py
@@ -9,7 +9,9 @@
 import asyncio
 import contextlib
 import importlib
+import os
 import re
+import signal
 import sys
 import time
 from collections import Counter
@@ -66,8 +68,13 @@
             await process.wait()
 
 
-async def play_all(cases: Iterable[Case], plays: int, busy: int, concurrency: int, kept: Path | None) -> list[Play]:
-    """Plays each case so often, `concurrency` at a time; kept: where fleets of failed plays leave their files."""
+async def play_all(
+    cases: Iterable[Case], plays: int, busy: int, concurrency: int, out: Path, kept: Path | None
+) -> list[Play]:
+    """Plays each case so often, `concurrency` at a time, and appends each play to `out` as it ends.
+
+    kept: where fleets of failed plays leave their files.
+    """
     semaphore = asyncio.Semaphore(concurrency)
 
     async def run_one(case: Case, number: int) -> Play:
@@ -76,6 +83,7 @@
             folder = kept / f"{case.module}-{case.name}-{busy}-{number}" if kept is not None else None
             error = await _play_in_process(case, folder)
             play = Play(case.module, case.name, busy, number, round(time.monotonic() - began, 1), error)
+            write([play], out)
             print(f"{play.module} [{play.case}] {number}: {play.seconds} s {error[:200] or 'passed'}", flush=True)
             return play
 
@@ -92,12 +100,13 @@
         *arguments,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.DEVNULL,
+        start_new_session=True,
     )
     try:
         async with asyncio.timeout(PLAY_TIMEOUT_S):
             output, _ = await process.communicate()
     except TimeoutError:
-        process.kill()
+        os.killpg(process.pid, signal.SIGKILL)  # the fleet's processes too
         await process.wait()
         return f"TimeoutError: not over after {PLAY_TIMEOUT_S:.0f} s"
     text = output.decode(errors="replace").strip()
--- a/tests/test_cluster_duties_fleet.py
+++ b/tests/test_cluster_duties_fleet.py
@@ -195,6 +195,21 @@
         rig.check()
 
 
+async def disks_are_slow(case: str) -> None:
+    """Each write takes 400 ms of a lease of 1,000 ms: roles are taken, handed on, and taken again after a crash."""
+    async with fleet(case, slow_disk=True) as rig:
+        holder = await wait_for_holder(rig)
+        to = next(name for name in reversed(NAMES) if name != holder)
+        assert (await transfer(rig, holder, to)).startswith("SUCCESS")
+        await rig.until(
+            lambda views: [str(view["duties"][ROLE]) for view in views if view["duties"][ROLE]["holder"] != to],
+            PERIODS,
+        )
+        await rig.play([Fault(0, "kill", (to,))])
+        await rig.until_held(PERIODS)
+        rig.check()
+
+
 async def all_forgotten(case: str) -> None:
     """All voters lose memory and disk, and all members but one their memory, so terms start low again.
 
@@ -233,6 +248,7 @@
     "electors change while one is cut off": voters_change,
     "electors restart under load": under_load,
     "all electors forget everything": all_forgotten,
+    "disks are slow": disks_are_slow,
 }
 ALL = [*DUTY_CASES, *MORE]
 
