--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -30,7 +30,7 @@
 log = logging.getLogger("sageweir")
 
 
-async def _listen(key: str, listening: Awaitable[int]) -> None:
+async def _listen(key: str, listening: Awaitable[object]) -> None:
     """Await a listener; one that can't be had names its key."""
     try:
         await listening
@@ -128,8 +128,11 @@
     )
     log.info("%s: serving at %s", config.name, config.listen)
     if (front := config.websocket) is not None:
-        await callers.listen(
-            front.host, front.port, lambda: WebSocket(limits.message_bytes, limits.head_bytes, front.path)
+        await _listen(
+            "websocket_listen",
+            callers.listen(
+                front.host, front.port, lambda: WebSocket(limits.message_bytes, limits.head_bytes, front.path)
+            ),
         )
         log.info("%s: serving WebSocket at %s", config.name, front)
     if (proxies := config.xds) is not None:
@@ -139,7 +142,10 @@
 
         live = LiveSnapshot(clock, exchange.controller, servers.addresses)
         discovery = Discovery(live.present)
-        await loop.create_server(lambda: DiscoveryConnection(limits, discovery), proxies.host, proxies.port)
+        await _listen(
+            "xds_listen",
+            loop.create_server(lambda: DiscoveryConnection(limits, discovery), proxies.host, proxies.port),
+        )
         log.info("%s: serving endpoint discovery at %s", config.name, proxies)
     if fleet is not None:
         await fleet.start()
--- a/sageweir/attempts.py
+++ b/sageweir/attempts.py
@@ -26,6 +26,11 @@
     description: str | None = None
     tenant: str = ""
 
+    @property
+    def size(self) -> int:
+        """Characters of what the caller has said, which this process keeps as long as the call is open."""
+        return len(self.call) + len(self.key) + len(self.description or "") + len(self.tenant)
+
 
 class AttemptState(Enum):
     """Lifecycle state of an attempt."""
--- a/sageweir/config.py
+++ b/sageweir/config.py
@@ -422,6 +422,7 @@
         guard_ms=settings.release_guard_ms,
         may_test=_get(caps, "probing", bool, "settings.caps.", False),
         open_calls=min(open_cap, room * 64),
+        open_request_bytes=min(base.open_request_bytes, room * 64 * 1024),
         # As long as the platform lets a process live that it stops, less what a sound end takes: a call that ends by
         # itself before is not cut, and what is still open then is told to both its ends before the kill.
         stop_standing_ms=min(base.stop_longest_ms, longest) + base.stop_spare_ms - base.stop_end_ms,
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -9,7 +9,7 @@
 import logging
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from dahliabridge import interface as api
 from dahliabridge.adapter import read_report
@@ -35,6 +35,15 @@
 log = logging.getLogger("sageweir.exchange")
 
 
+@dataclass(frozen=True, slots=True)
+class PendingRelease:
+    """The end of a call that its caller must be notified of; until: when that is given up."""
+
+    call: Call
+    cause: int
+    until: float
+
+
 class Exchange:
     """Holds the open calls and their attempts, and drives the decision module."""
 
@@ -47,7 +56,8 @@
         self.predecessor_calls: dict[str, str] = {}  # call to class; the predecessor answers them, on connections here
         self.calls: dict[str, Call] = {}
         self.unanswered = 0
-        self.pending_releases: dict[str, Call] = {}  # ended calls whose caller was not notified yet
+        self.open_request_bytes = 0  # of all calls, as callers have said them
+        self.pending_releases: dict[str, PendingRelease] = {}  # ended calls whose caller was not notified yet
         self.counters = Counters(c.name for c in settings.classes)
         self.observer: RequestObserver | None = None
         # Upper bound of the time for which the input of this loop turn waited to be read.
@@ -245,6 +255,7 @@
             return
         if not call.is_established:
             self.unanswered -= 1
+        self.open_request_bytes -= call.request.size
         if call.watchdog is not None:
             call.watchdog.cancel()
         call.caller.forget_call(call_id)
@@ -284,11 +295,13 @@
         if call_id in self.calls or call_id in self.predecessor_calls:
             log.warning("call %s: duplicate set-up not accepted, the id is in use", call_id)
             return False
-        if turned_away or len(self.calls) >= self.limits.open_calls:
+        if turned_away or self._is_full(request):
             log.warning(
                 "call %s: refused: %s",
                 call_id,
-                "callers are being sent to other controllers" if turned_away else f"{len(self.calls)} calls open",
+                "callers are being sent to other controllers"
+                if turned_away
+                else f"{len(self.calls)} calls open, of {self.open_request_bytes} bytes",
             )
             self.counters.count_result(request.service_class, RequestResult.DECLINED)
             caller.refuse(call_id, 0.0)
@@ -300,6 +313,7 @@
         call = Call(request, caller)
         self.calls[call_id] = call
         self.unanswered += 1
+        self.open_request_bytes += request.size
         if self.observer is not None:
             self.observer.on_request(request)
         call.watchdog = self.clock.after(
@@ -318,6 +332,13 @@
         )
         return True
 
+    def _is_full(self, request: Request) -> bool:
+        """Whether the open calls leave no room for another request."""
+        return (
+            len(self.calls) >= self.limits.open_calls
+            or self.open_request_bytes + request.size > self.limits.open_request_bytes
+        )
+
     def fail_request(self, call_id: str) -> None:
         """Fail a request whose connection is about to be closed."""
         self._fail_unanswered_call(call_id)
@@ -362,8 +383,23 @@
         )
 
     def hand_over_calls(self) -> list[EstablishedCall]:
-        """Detach the established calls for the successor; the result also names those that stay in this process."""
-        handed_over = []
+        """Detach the established calls for the successor; the result also names those that stay in this process.
+
+        Ended calls whose callers were not notified yet go too, as the callers come back to the successor.
+        """
+        handed_over = [
+            EstablishedCall(
+                call_id,
+                pending.call.request.service_class,
+                "",
+                self.clock.now(),
+                pending.call.caller.host,
+                ended_cause=pending.cause,
+                release_until=pending.until,
+            )
+            for call_id, pending in self.pending_releases.items()
+        ]
+        self.pending_releases.clear()
         for call_id, call in list(self.calls.items()):
             attempt = call.current_attempt
             if attempt is None or not call.is_established or self.servers is None:
@@ -379,6 +415,7 @@
             if not kept:
                 # Not added to _ended_ids: messages for it from now on belong to the other process.
                 del self.calls[call_id]
+                self.open_request_bytes -= call.request.size
                 attempt.state = AttemptState.ENDED
                 call.caller.forget_call(call_id)
                 self._post(api.CallerGone(call_id))
@@ -390,12 +427,17 @@
         if call_id in self.calls:
             return True
         request = Request(call_id, established.service_class, 0.0)
+        if established.ended_cause is not None:
+            until = min(established.release_until, self.clock.now() + self.limits.release_for_ms)
+            self._deliver_release(PendingRelease(Call(request, caller), established.ended_cause, until))
+            return True
         attempt = Attempt(request, 0, established.server, established.since, 0.0, AttemptState.ESTABLISHED)
         if self.servers is None or not self.servers.adopt(attempt):
             until = self.clock.now() + self.limits.release_for_ms
-            self._deliver_release(Call(request, caller, 1, attempt), Cause.RESET, until)
+            self._deliver_release(PendingRelease(Call(request, caller, 1, attempt), Cause.RESET, until))
             return False
         self.calls[call_id] = Call(request, caller, 1, attempt)
+        self.open_request_bytes += request.size
         return True
 
     def on_call_end_elsewhere(self, call_id: str, cause: int, by_caller: bool) -> bool:
@@ -442,12 +484,19 @@
                 if timer is not None:
                     timer.cancel()
             self._post(api.Answered(call_id, attempt.number, attempt.server, self.clock.now() - attempt.sent_at))
+            self._forget_description(call, attempt)
             if call.caller.answer(call_id, description):
                 self._count_result(call.request, RequestResult.SUCCEEDED)
             else:
                 log.info("call %s: released, the answer could not be delivered to its caller", call_id)
                 self.on_caller_release(call_id)
 
+    def _forget_description(self, call: Call, attempt: Attempt) -> None:
+        """Only attempts that may still be sent need it."""
+        self.open_request_bytes -= call.request.size
+        call.request = attempt.request = replace(call.request, description=None)
+        self.open_request_bytes += call.request.size
+
     def on_attempt_end(self, attempt: Attempt, result: AttemptResult) -> None:
         """The clearing server has ended an attempt, before or after its answer."""
         if attempt.state is AttemptState.ENDED:
@@ -458,19 +507,24 @@
             self._remove_call(call_id)
         self._close_attempt(attempt, result)
         if was_established and call is not None:
-            self._deliver_release(call, result.cause, self.clock.now() + self.limits.release_for_ms)
+            until = self.clock.now() + self.limits.release_for_ms
+            self._deliver_release(PendingRelease(call, result.cause, until))
 
-    def _deliver_release(self, call: Call, cause: int, until: float) -> None:
+    def _deliver_release(self, pending: PendingRelease) -> None:
         # The caller's connection may be down when its call ends: retried for a while, on any connection of its host.
-        call_id = call.request.call
+        call_id = pending.call.request.call
         self.pending_releases.pop(call_id, None)
-        if call.caller.release(call_id, cause):
+        if pending.call.caller.release(call_id, pending.cause):
             return
-        if self.clock.now() >= until:
+        if self.clock.now() >= pending.until:
             log.warning("call %s: release not delivered, no connection to its caller", call_id)
         else:
-            self.pending_releases[call_id] = call
-            self.clock.after(self.limits.release_retry_ms, lambda: self._deliver_release(call, cause, until))
+            self.pending_releases[call_id] = pending
+            self.clock.after(self.limits.release_retry_ms, lambda: self._retry_release(pending))
+
+    def _retry_release(self, pending: PendingRelease) -> None:
+        if self.pending_releases.get(pending.call.request.call) is pending:  # else the successor has it
+            self._deliver_release(pending)
 
     # Shutdown of the process
 
--- a/sageweir/handover.py
+++ b/sageweir/handover.py
@@ -50,6 +50,8 @@
     """An established call that the new process takes over; since: Unix ms of its set-up; host: of its caller.
 
     kept: the old process keeps the call until it exits, as its server drains and may accept no new connection.
+    ended_cause: None, or the call has ended and its caller is to be notified of this cause until release_until (Unix
+    ms). The server is empty then: a build that does not know these fields notifies the caller too, of a reset.
     """
 
     call: str
@@ -58,6 +60,8 @@
     since: float
     host: str
     kept: bool = False
+    ended_cause: int | None = None
+    release_until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,6 +216,8 @@
         _number(raw["since"]),
         _text(raw["host"]),
         _boolean(raw["kept"]),
+        None if raw.get("ended_cause") is None else _integer(raw["ended_cause"], 0, MAX_CAUSE),
+        _number(raw.get("release_until", 0.0)),
     )
 
 
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -34,6 +34,7 @@
     leaving_turns: int = 64  # of the loop, in which what lies unread on a connection is read before it is closed
     send_deferrals: int = 3  # of one attempt, for input of its caller that was not read yet
     open_calls: int = 20_000  # requests waited for at once
+    open_request_bytes: int = 16 * 1024 * 1024  # what callers have said of all open calls
     kept_attempts: int = 2048  # attempts that are over and still remembered, on one connection
     kept_ids: int = 8192  # calls that are over and still remembered, to tell what comes late from the unknown
     # Times
--- /dev/null
+++ b/tests/test_bad_clients.py
@@ -0,0 +1,122 @@
+"""Clients that say as much as they may: the memory of a controller stays bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import socket
+import time
+from contextlib import suppress
+from pathlib import Path
+
+from dahliabridge.brain import MAX_UNSERVED_NUMBERS
+from dahliabridge.recent_numbers import MAX_KEY_CHARS, RecentNumbers
+from sageweir.attempts import Request
+from sageweir.limits import Limits
+from tests.driving import ControllerDriver
+from tests.scenario import World
+from tests.test_operation import Program, platform
+
+MEMORY_MB = 64
+FLOOD_S = 8.0  # enough for 500 MB before numbers were bounded
+SET_UPS_AT_ONCE = 200
+NUMBER_CHARS = 15_000
+
+
+def peak_memory_mb(process: int) -> float:
+    status = Path(f"/proc/{process}/status").read_text()
+    return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+
+
+def flood(sock: socket.socket, rng: random.Random) -> None:
+    """Set-ups with little time left, each to another number, and what comes back."""
+    lines = [
+        json.dumps(
+            {
+                "msg": "open",
+                "sid": f"{rng.getrandbits(64):016x}",
+                "attrs": {
+                    "class": "status-check",
+                    "left": "10",
+                    "extras": "dest:0",
+                    "key": f"{rng.getrandbits(48 * 1024):x}"[:NUMBER_CHARS],
+                },
+            }
+        )
+        for _ in range(SET_UPS_AT_ONCE)
+    ]
+    sock.sendall(("\n".join(lines) + "\n").encode())
+    with suppress(TimeoutError, BlockingIOError):
+        sock.setblocking(False)
+        while sock.recv(1 << 20):
+            pass
+    sock.settimeout(30)
+
+
+def test_numbers_of_any_length_and_count_do_not_fill_the_memory(tmp_path: Path) -> None:
+    """Failure: the module kept the number of each refused call for 9 s, over 500 MB of them in 10 s."""
+    with platform(tmp_path) as (path, _, held):
+        raw = json.loads(path.read_text())
+        raw["limits"] = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 256}
+        path.write_text(json.dumps(raw))
+        program = Program(path, {"NODE_SOCKET_FD": str(held.fileno())}, held.fileno())
+        try:
+            rng = random.Random(1)
+            clients = [socket.create_connection(held.getsockname()) for _ in range(2)]
+            until = time.monotonic() + FLOOD_S
+            while time.monotonic() < until:
+                for client in clients:
+                    flood(client, rng)
+                assert peak_memory_mb(program.process.pid) < MEMORY_MB
+        finally:
+            program.process.kill()
+            program.process.wait()
+
+
+def test_numbers_that_were_not_served_are_bounded_in_count_and_length() -> None:
+    numbers = RecentNumbers(3)
+    long = "1" * 100_000
+    for at, number in enumerate(["a", "b", long, "c"]):
+        numbers.set(number, float(at))
+    assert numbers.get("a", -1.0) == -1.0 and numbers.get(long, -1.0) == 2.0 and len(numbers) == 3
+    assert all(len(key) <= MAX_KEY_CHARS for key, _ in numbers.items())
+    numbers.set("b", 9.0)
+    numbers.set("d", 10.0)
+    assert numbers.get("b", -1.0) == 9.0  # the latest are kept
+    numbers.forget_before(9.5)
+    assert len(numbers) == 1
+    driver = ControllerDriver([])
+    for i in range(MAX_UNSERVED_NUMBERS + 50):
+        driver.call(f"x{i}", number=f"n{i}", timeout_ms=0.0)
+    assert len(driver.controller.unserved) == MAX_UNSERVED_NUMBERS
+
+
+def test_a_request_that_would_take_too_much_memory_with_the_open_ones_is_refused() -> None:
+    async def run() -> None:
+        world = World("lines")
+        await world.open(1)
+        exchange = world.exchange
+        exchange.limits = Limits(open_request_bytes=10_000)
+        told: list[str] = []
+
+        class Caller:
+            host = "127.0.0.1"
+
+            def refuse(self, call: str, wait_ms: float) -> bool:
+                told.append(call)
+                return True
+
+            def __getattr__(self, name: str) -> object:
+                return lambda *_: True
+
+        caller = Caller()
+        for i in range(4):
+            exchange.on_setup_request(Request(f"{i:016x}", "plain", 5000.0, "1" * 3000), caller)  # type: ignore[arg-type]
+        assert told == [f"{3:016x}"] and exchange.open_request_bytes == 3 * 3016
+        for call in list(exchange.calls):
+            exchange.on_caller_release(call)
+        assert exchange.open_request_bytes == 0
+        await world.close()
+
+    asyncio.run(run())
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -74,7 +74,7 @@
     st.builds(Hello, TEXT, TEXT),
     st.builds(HelloReply, st.none() | LEARNED),
     st.just(TakeOver()),
-    st.builds(EstablishedCall, TEXT, TEXT, TEXT, NUMBER, TEXT, st.booleans()),
+    st.builds(EstablishedCall, TEXT, TEXT, TEXT, NUMBER, TEXT, st.booleans(), st.none() | st.integers(0, 127), NUMBER),
     st.builds(
         PassedConnection,
         TEXT,
@@ -357,6 +357,64 @@
             hear(who, "close", name)
 
 
+def test_a_caller_that_comes_back_after_an_upgrade_is_told_of_the_end_of_its_call(tmp_path: Path) -> None:
+    """Failure: releases that waited for their callers were lost with the old process."""
+    with deployment(tmp_path) as rig:
+        rig.start()
+        gone = Caller(rig.port)
+        gone.set_up("a")
+        line = rig.server.answer("a")
+        hear(gone, "ready", "a")
+        gone.sock.shutdown(socket.SHUT_RDWR)
+        gone.sock.close()
+        time.sleep(0.2)  # until the process has seen it
+        rig.server.send("close", "a", line, code=41)
+        assert rig.server.hear("closed", "a") is line
+        rig.start()
+        rig.stop(0)
+        assert rig.ended(0) and "owed at the end" not in rig.log(0)
+        back = Caller(rig.port)
+        back.set_up("b")  # on a connection that says something
+        told: dict[str, Any] = {}
+        while told.get("msg") != "close":
+            told = back.hear()
+            assert told
+        assert (told["sid"], told["code"]) == ("a" * 16, 41)
+
+
+def test_each_field_of_the_exchange_is_handed_over_or_known_to_need_no_handover() -> None:
+    """A field that is added has to be named here, after a decision about upgrades."""
+    handed_over = {
+        "calls": "established calls, those unanswered are answered by the old process",
+        "pending_releases": "with the calls",
+        "controller": "what it has learned",
+        "predecessor_calls": "calls of an older process, which answers them itself",
+    }
+    needs_no_handover = {
+        "clock": "",
+        "limits": "of the configuration",
+        "servers": "connections, which the new process opens itself",
+        "notify_other_process": "the way to the other process",
+        "unanswered": "count of calls",
+        "open_request_bytes": "sum over calls",
+        "counters": "of this process",
+        "observer": "of this process",
+        "input_delay_ms": "of this process's event loop",
+        "_in_flight": "attempts of unanswered calls",
+        "_ended_ids": "the other process is asked about ids that are not known",
+        "_inbox": "events of this turn",
+        "_scheduled": "",
+    }
+
+    async def run() -> None:
+        world = World("lines")
+        await world.open(1)
+        assert vars(world.exchange).keys() == handed_over.keys() | needs_no_handover.keys()
+        await world.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("cause", [-1, 1 << 40])
 def test_a_bad_release_during_an_upgrade_leaves_the_calls_of_others_alone(tmp_path: Path, cause: int) -> None:
     """Failure: the processes parted over it, and callers were never told of the ends of their calls."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -542,3 +542,23 @@
     core.on_setup_request(request, ends)
     clock.move_to(clock.now())
     assert [event.tenant for event in told if isinstance(event, api.SetupRequest)] == ["t"]
+
+
+@pytest.mark.parametrize(("key", "scheme"), [("websocket_listen", "ws://{}/v1/calls"), ("xds_listen", "{}")])
+def test_an_address_in_use_is_one_line_of_error(tmp_path: Path, key: str, scheme: str) -> None:
+    """Failure: such a start ended with a traceback where the address was another front's than the callers' one."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        (tmp_path / "deploy").mkdir()
+        (tmp_path / "deploy/fronts.json").write_text(json.dumps({key: scheme.format(address)}))
+        raw = copy.deepcopy(EXAMPLE)
+        raw["listen"] = f"127.0.0.1:{free_port()}"
+        (tmp_path / "config.json").write_text(json.dumps(raw))
+        environ = os.environ | {"NODE_CONFIG": "config.json", "PYTHONPATH": str(ROOT)}
+        command = [sys.executable, "-m", "sageweir"]
+        ended = subprocess.run(
+            command, cwd=tmp_path, env=environ, capture_output=True, text=True, timeout=60, check=False
+        )
+        assert ended.returncode == 2 and "Traceback" not in ended.stderr
+        last = ended.stderr.splitlines()[-1]
+        assert last.startswith(f"sageweir: {key}: cannot listen: ") and "address already in use" in last.lower()
