--- a/sageweir/lab/load.py
+++ b/sageweir/lab/load.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Iterable
+from math import inf
 from typing import Any
 
 from sageweir.lab.faults.rig import FleetRig
@@ -19,6 +20,7 @@
     def __init__(self, cold_ms: float = 0.0) -> None:
         self.feed, self.ports, self.seen, self.cold_ms = FeedStandIn(), free_ports(3), Seen(), cold_ms
         self.machines: Any = None
+        self.callers: list[Caller] = []
         self.calls: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Load:
@@ -38,13 +40,19 @@
         self.feed.push([row(f"s-{i}", self.ports[i], i) for i in range(2)], complete=True)
         return self
 
-    def call(self, rig: FleetRig, names: Iterable[str], rate: float, seconds: float) -> None:
-        """Callers at these members begin."""
+    def call(self, rig: FleetRig, names: Iterable[str], rate: float, seconds: float = inf) -> None:
+        """Callers at these members begin; they go on for so long, or until `stop`."""
         until = time.time() + seconds
-        self.calls += [
-            asyncio.create_task(Caller(rig.clients[name], self.seen, i).run(rate, until))
-            for i, name in enumerate(names, len(self.calls))
-        ]
+        for name in names:
+            caller = Caller(rig.clients[name], self.seen, len(self.callers))
+            self.callers.append(caller)
+            self.calls.append(asyncio.create_task(caller.run(rate, until)))
+
+    async def stop(self) -> None:
+        """Callers make no more calls; waits for the ends of those they made."""
+        for caller in self.callers:
+            caller.stop()
+        await asyncio.gather(*self.calls)
 
     async def done(self) -> None:
         """Wait for the callers; each set-up was served, once."""
--- a/sageweir/lab/upgrade.py
+++ b/sageweir/lab/upgrade.py
@@ -55,13 +55,15 @@
         self.port, self.seen, self.draw = port, seen, random.Random(seed)
         self.writer: asyncio.StreamWriter | None = None
         self.open: set[str] = set()
+        self.until = 0.0
 
     async def run(self, rate: float, until: float) -> None:
-        """Make calls till then, at random times."""
+        """Make calls till then, or till `stop`, at random times."""
+        self.until = until
         reading = asyncio.create_task(self._read())
-        while self.writer is None and time.time() < until:
+        while self.writer is None and time.time() < self.until:
             await asyncio.sleep(0.01)  # guards against a call that nobody is asked for
-        while time.time() < until:
+        while time.time() < self.until:
             await asyncio.sleep(self.draw.expovariate(rate))
             sid = f"{self.draw.getrandbits(64):016x}"
             self.seen.words[sid], self.seen.sent_at[sid] = [], time.time()
@@ -81,6 +83,10 @@
         if self.writer is not None:
             self.writer.close()
 
+    def stop(self) -> None:
+        """Make no more calls."""
+        self.until = 0.0
+
     def say(self, message: dict[str, Any]) -> None:
         if self.writer is not None:
             self.writer.write(orjson.dumps(message) + b"\n")
--- a/tests/test_changes_fleet.py
+++ b/tests/test_changes_fleet.py
@@ -51,14 +51,13 @@
     """Two rollouts, one after the other; callers are not affected, and no call has attempts under two versions."""
     async with Load() as load, fleet(case, QUICK, feed=load.feed.port) as rig:
         await ready(rig)
-        load.call(rig, NAMES, 5.0, 8.0)
+        load.call(rig, NAMES, 5.0)
         first = await propose(rig, write(rig, "a.json", cold_part=0.6, note="first"))
         await rig.until(all_have(first), PERIODS)
-        load.call(rig, NAMES, 5.0, 4.0)  # some calls arrive under the first, some under the second
         second = await propose(rig, write(rig, "b.json", cold_part=0.5))
         assert second > first
         await rig.until(all_have(second), PERIODS)
-        await asyncio.gather(*load.calls)
+        await load.stop()
         finals = [[word for word in words if word != "over"] for words in load.seen.words.values()]
         assert len(finals) > 50 and all(len(words) == 1 for words in finals)  # exactly one answer each
         rig.check()
@@ -72,7 +71,7 @@
     """A trial switches rules off and on without a doubt, once half of the first zone runs them."""
     async with Load() as load, fleet(case, QUICK | {"soak_ms": 2500.0}, feed=load.feed.port) as rig:
         await ready(rig)
-        load.call(rig, NAMES, 8.0, 12.0)
+        load.call(rig, NAMES, 8.0)
         number = await propose(rig, write(rig, "a.json", cold_part=0.6), at=NAMES[3])
         asked = next(place for place in rig.places if place.name == NAMES[3])
         for _ in range(200):
@@ -82,6 +81,7 @@
         # The reply is sent only once the first step is on a majority of disks.
         assert any(row["do"] == "book" and row["number"] == number for rows in rig.duty_audits() for row in rows)
         await rig.until(all_have(number), 4 * PERIODS)
+        await load.stop()
         await load.done()
         rig.check()
         states = [row for rows in rig.duty_audits() for row in rows if row["do"] == "book" and row["number"] == number]
--- a/tests/test_ledger_fleet.py
+++ b/tests/test_ledger_fleet.py
@@ -65,9 +65,9 @@
     assert not rows, rows[:3]
 
 
-async def begin(rig: FleetRig, load: Load, seconds: float = 12.0) -> None:
+async def begin(rig: FleetRig, load: Load) -> None:
     await ready(rig)
-    load.call(rig, NAMES, 6.0, seconds)
+    load.call(rig, NAMES, 6.0)  # to the end: without calls there are no dual reads
     await rig.until(filled, PERIODS)
 
 
@@ -83,7 +83,7 @@
         assert agreed >= 4 * 20 and all(len(view["shards"]["shards"]) == 2 for view in views)
         found = await ask(rig, rig.places[1], "prefix")
         assert found["shards"] == "2 of 2"
-        await asyncio.gather(*load.calls)
+        await load.stop()
         undisputed(rig)
 
         def shown(*words: str) -> Any:
@@ -157,7 +157,7 @@
         FleetRig(NAMES, electors=ELECTORS, seed=5, changes=changes, feed=load.feed.port, later=NAMES[5:]) as rig,
     ):
         await ready(rig)
-        load.call(rig, NAMES[:5], 6.0, 12.0)
+        load.call(rig, NAMES[:5], 6.0)
         number = await propose(rig, halves(rig), at=NAMES[0], kind="shards")
         await rig.start(next(place for place in rig.places if place.name == NAMES[5]))
         await rig.until_alike(PERIODS)
