Hand over the listeners of the WebSocket and discovery fronts in an upgrade

Cause: only the callers' listener is held by the platform; a new process bound the others anew and ended, as the old one had them. Change: PassedListener carries a listening socket to a successor that says in Hello that it reads it; other builds get none. The discovery listener stops accepting once its process stops in an upgrade.

--- a/sageweir/__main__.py
+++ b/sageweir/__main__.py
@@ -9,6 +9,7 @@
 import sys
 import zlib
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from sageweir.clock import SystemClock
 from sageweir.config import Address, Config, ConfigError, load
@@ -28,12 +29,13 @@
 from sageweir.selector import TimedSelector
 
 log = logging.getLogger("sageweir")
+Listener = TypeVar("Listener")  # a port or a socket
 
 
-async def _listen(key: str, listening: Awaitable[object]) -> None:
+async def _listen(key: str, listening: Awaitable[Listener]) -> Listener:
     """Await a listener; one that can't be had names its key."""
     try:
-        await listening
+        return await listening
     except OSError as error:
         raise ConfigError(f"{key}: cannot listen: {error.strerror or error}") from None
 
@@ -64,6 +66,7 @@
         "resume": lambda: granted(lifecycle.resume(clock.now())),
     }
     fleet, calls = None, dict[str, Call]()
+    proxy_side: DiscoverySide | None = None
     if config.cluster is not None:
         # Only here: on the platform controllers share nothing, and none of it is loaded.
         from sageweir.cluster.join import build_member
@@ -107,6 +110,8 @@
         lifecycle.stop(clock.now(), shared=config.socket_fd is not None)
         if lifecycle.listener_shared:
             callers.stop_listening(True)  # what waits there is for the process that goes on
+            if proxy_side is not None:
+                proxy_side.stop_listening()
             if handover is not None:
                 handover.stop()
             callers.sweep()
@@ -128,25 +133,33 @@
     )
     log.info("%s: serving at %s", config.name, config.listen)
     if (front := config.websocket) is not None:
+        inherited = handover.listener("websocket_listen", front) if handover is not None else None
         await _listen(
             "websocket_listen",
             callers.listen(
-                front.host, front.port, lambda: WebSocket(limits.message_bytes, limits.head_bytes, front.path)
+                front.host,
+                front.port,
+                lambda: WebSocket(limits.message_bytes, limits.head_bytes, front.path),
+                inherited.detach() if inherited is not None else None,
             ),
         )
+        if handover is not None:
+            handover.own_listeners["websocket_listen"] = callers.listeners[-1].listener
         log.info("%s: serving WebSocket at %s", config.name, front)
     if (proxies := config.xds) is not None:
         # Only here: the page and its decisions are not loaded where nobody asks for them.
         from sageweir.control.live import LiveSnapshot
-        from sageweir.control.poll import Discovery, DiscoveryConnection
+        from sageweir.control.poll import Discovery, DiscoverySide
 
         live = LiveSnapshot(clock, exchange.controller, servers.addresses)
-        discovery = Discovery(live.present)
-        await _listen(
-            "xds_listen",
-            loop.create_server(lambda: DiscoveryConnection(limits, discovery), proxies.host, proxies.port),
-        )
+        inherited = handover.listener("xds_listen", proxies) if handover is not None else None
+        proxy_side = DiscoverySide(limits, Discovery(live.present))
+        listener = await _listen("xds_listen", proxy_side.listen(proxies, inherited))
+        if handover is not None:
+            handover.own_listeners["xds_listen"] = listener
         log.info("%s: serving endpoint discovery at %s", config.name, proxies)
+    if handover is not None:
+        handover.close_unused_listeners()
     if fleet is not None:
         await fleet.start()
     gc.freeze()  # what is there now stays: later collections need not look at it
--- a/sageweir/control/poll.py
+++ b/sageweir/control/poll.py
@@ -8,11 +8,13 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from typing import cast
 
 import orjson
 
+from sageweir.config import Address
 from sageweir.control.snapshot import CLUSTER, ENDPOINT, LISTENER, ROUTE, Snapshot
 from sageweir.limits import Limits
 from sageweir.net.http import Head, HeadReader, HttpError
@@ -69,6 +71,30 @@
         )
 
 
+class DiscoverySide:
+    """The listening socket of the proxies."""
+
+    def __init__(self, limits: Limits, discovery: Discovery) -> None:
+        self._limits, self._discovery = limits, discovery
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: Address, inherited: socket.socket | None = None) -> socket.socket:
+        """Listen at an address, or at the socket of a predecessor; returns the socket. Raises OSError."""
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        listener = inherited or socket.create_server((address.host, address.port), family=family)
+        listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: DiscoveryConnection(self._limits, self._discovery), sock=listener
+        )
+        return listener
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open go on."""
+        if self._server is not None:
+            self._server.close()
+
+
 class DiscoveryConnection(asyncio.BufferedProtocol):
     """A persistent HTTP connection of one proxy."""
 
--- a/sageweir/handover.py
+++ b/sageweir/handover.py
@@ -32,10 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """First message of the new process; settings: digest of the settings that it was given."""
+    """First message of the new process; settings: digest of the settings that it was given.
+
+    takes_listeners: it reads `PassedListener`, which is sent to no other build.
+    """
 
     name: str
     settings: str
+    takes_listeners: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +93,13 @@
     owed: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PassedListener:
+    """A listening socket, sent with its descriptor before the reply to `Hello`; key: of its address in the settings."""
+
+    key: str
+
+
 @dataclass(frozen=True, slots=True)
 class RelayedMessage:
     """A message of the old process to a caller whose connection it has passed on; word: value of a `Kind`."""
@@ -118,13 +129,16 @@
     reason: str
 
 
-HandoverMessage = Hello | HelloReply | EstablishedCall | TakeOver | PassedConnection | RelayedMessage | CallEnded
+HandoverMessage = (
+    Hello | HelloReply | EstablishedCall | TakeOver | PassedConnection | PassedListener | RelayedMessage | CallEnded
+)
 _MESSAGE_TYPES: dict[str, type] = {
     "hello": Hello,
     "known": HelloReply,
     "standing": EstablishedCall,
     "yours": TakeOver,
     "passed": PassedConnection,
+    "listener": PassedListener,
     "told": RelayedMessage,
     "over": CallEnded,
 }
@@ -201,7 +215,7 @@
 
 
 def _hello(raw: Any) -> Hello:
-    return Hello(_text(raw["name"]), _text(raw["settings"]))
+    return Hello(_text(raw["name"]), _text(raw["settings"]), _boolean(raw.get("takes_listeners", False)))
 
 
 def _hello_reply(raw: Any) -> HelloReply:
@@ -263,6 +277,7 @@
     EstablishedCall: _established_call,
     TakeOver: lambda raw: TakeOver(),
     PassedConnection: _passed_connection,
+    PassedListener: lambda raw: PassedListener(_text(raw["key"])),
     RelayedMessage: _relayed_message,
     CallEnded: _call_ended,
 }
--- a/sageweir/net/acceptor.py
+++ b/sageweir/net/acceptor.py
@@ -47,6 +47,11 @@
         """The port that is listened on."""
         return int(self._listener.getsockname()[1])
 
+    @property
+    def listener(self) -> socket.socket:
+        """The listening socket."""
+        return self._listener
+
     def start(self) -> None:
         """Accept from now on."""
         self._retry = None
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import logging
+import os
 import socket
 from collections.abc import Callable
 from dataclasses import replace
@@ -16,6 +17,7 @@
 
 from dahliabridge.learned import export_learned, restore_learned
 from sageweir.clock import Clock
+from sageweir.config import Address
 from sageweir.counters import RequestResult
 from sageweir.exchange import Exchange
 from sageweir.handover import (
@@ -26,6 +28,7 @@
     Hello,
     HelloReply,
     PassedConnection,
+    PassedListener,
     RelayedMessage,
     Succession,
     TakeOver,
@@ -40,6 +43,7 @@
 log = logging.getLogger("sageweir.handover")
 
 SOCKET_NAME = "sageweir.sock"
+MAX_LISTENERS = 4  # taken over
 RELAYED_KINDS = {kind.value: kind for kind in Kind}
 
 
@@ -71,6 +75,8 @@
         self._announced: set[str] = set()  # calls that this process keeps, and has named to its successor
         self._tasks: set[asyncio.Task[None]] = set()
         self._unidentified: list[Channel] = []  # that have not said who they are
+        self.own_listeners: dict[str, socket.socket] = {}  # by key, for the successor
+        self._inherited_listeners: dict[str, socket.socket] = {}
         exchange.notify_other_process = self.report_call_end
 
     # Starting
@@ -90,7 +96,7 @@
         self.predecessor, self.succession.has_predecessor = Channel(self, sock, True), True
         self.callers.set_part(self.succession.descriptor_share())
         wait = self.clock.after(self.limits.handover_ms, lambda: self._settle(None))
-        self.predecessor.send(Hello(self.succession.name, self.succession.settings))
+        self.predecessor.send(Hello(self.succession.name, self.succession.settings, takes_listeners=True))
         known = await self._known
         wait.cancel()
         if known is None:
@@ -101,6 +107,20 @@
             restore_learned(self.exchange.controller, known.learned, self.clock.now())
             log.info("what the old process learned of %d servers is taken over", len(known.learned.servers))
 
+    def listener(self, key: str, address: Address) -> socket.socket | None:
+        """The predecessor's listening socket for a key; None if it has none, or one at another address."""
+        found = self._inherited_listeners.pop(key, None)
+        if found is not None and found.getsockname()[:2] != (address.host, address.port):
+            found.close()
+            return None
+        return found
+
+    def close_unused_listeners(self) -> None:
+        """Close the listening sockets that came from the predecessor and are not wanted here."""
+        for found in self._inherited_listeners.values():
+            found.close()
+        self._inherited_listeners.clear()
+
     def _settle(self, known: HelloReply | None) -> None:
         if not self._known.done():
             self._known.set_result(known)
@@ -152,6 +172,8 @@
                 if channel in self._unidentified:
                     self._unidentified.remove(channel)
                 self.callers.set_part(self.succession.descriptor_share())
+                if message.takes_listeners:
+                    self._pass_listeners(channel)
                 channel.send(HelloReply(export_learned(self.exchange.controller) if same else None))
                 log.info("a successor is there%s", "" if same else ", with other settings")
                 if self._stopping:
@@ -164,6 +186,8 @@
                 self._listen()
             case PassedConnection() if channel is self.predecessor:
                 self._take_connection(message, channel.take_socket())
+            case PassedListener() if channel is self.predecessor:
+                self._take_listener(message.key, channel.take_socket())
             case RelayedMessage() if channel is self.predecessor:
                 self._relay(message)
             case EstablishedCall() if channel is self.predecessor:
@@ -173,6 +197,17 @@
             case _:
                 raise HandoverError(f"{type(message).__name__} is not its to say")
 
+    def _pass_listeners(self, channel: Channel) -> None:
+        for key, listener in self.own_listeners.items():
+            if listener.fileno() >= 0:  # else this process listens no more
+                channel.send(PassedListener(key), os.dup(listener.fileno()))
+
+    def _take_listener(self, key: str, sock: socket.socket) -> None:
+        if key in self._inherited_listeners or len(self._inherited_listeners) >= MAX_LISTENERS or self._known.done():
+            sock.close()
+        else:
+            self._inherited_listeners[key] = sock
+
     def _take_connection(self, message: PassedConnection, sock: socket.socket) -> None:
         connection = CallerConnection(self.callers, self.wire())
         for _ in connection.wire.feed(message.rest.encode("latin-1", "replace")):
--- a/sageweir/net/handover_channel.py
+++ b/sageweir/net/handover_channel.py
@@ -14,6 +14,7 @@
     HandoverMessage,
     LineDecoder,
     PassedConnection,
+    PassedListener,
     UnusableMessage,
     encode,
 )
@@ -80,7 +81,7 @@
         if not self._owner.is_known(self):
             raise HandoverError(message.reason)
         log.warning("a %s of the other process is skipped: %s", message.message_type.__name__, message.reason)
-        if message.message_type is PassedConnection:  # descriptors are matched by order
+        if message.message_type in (PassedConnection, PassedListener):  # descriptors are matched by order
             self.take_socket().close()
 
     def take_socket(self) -> socket.socket:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -31,6 +31,7 @@
     HelloReply,
     LineDecoder,
     PassedConnection,
+    PassedListener,
     RelayedMessage,
     Succession,
     TakeOver,
@@ -44,7 +45,7 @@
 from tests.driving import ControllerDriver, server
 from tests.scenario import World
 from tests.test_operation import Caller, Program, platform
-from tests.test_program import free_port
+from tests.test_program import ROOT, free_port
 
 TEXT = st.text(max_size=40)
 NUMBER = st.floats(0, 1e9)
@@ -71,7 +72,8 @@
     st.lists(SERVER, max_size=3).map(tuple),
 )
 MESSAGE: st.SearchStrategy[HandoverMessage] = st.one_of(
-    st.builds(Hello, TEXT, TEXT),
+    st.builds(Hello, TEXT, TEXT, st.booleans()),
+    st.builds(PassedListener, TEXT),
     st.builds(HelloReply, st.none() | LEARNED),
     st.just(TakeOver()),
     st.builds(EstablishedCall, TEXT, TEXT, TEXT, NUMBER, TEXT, st.booleans(), st.none() | st.integers(0, 127), NUMBER),
@@ -281,6 +283,7 @@
         self.server = Server(listener)
         self.port = int(held.getsockname()[1])
         self.programs, self.admins = list[Program](), list[int]()
+        self.runs_in = ROOT
 
     def start(self) -> None:
         admin = free_port()
@@ -294,6 +297,7 @@
                     "TMPDIR": str(self.folder),
                 },
                 self.held.fileno(),
+                self.runs_in,
             )
         )
         assert self.programs[-1].ask(admin, "ready") == "SUCCESS\n"
@@ -415,6 +419,40 @@
     asyncio.run(run())
 
 
+def test_the_listeners_of_all_fronts_go_to_the_new_process(tmp_path: Path) -> None:
+    """Failure: a process beside the old one ended at its start, as the addresses of the other fronts were in use."""
+    fronts = {"websocket_listen": free_port(), "xds_listen": free_port()}
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "deploy/fronts.json").write_text(
+        json.dumps(
+            {
+                "websocket_listen": f"ws://127.0.0.1:{fronts['websocket_listen']}/v1/calls",
+                "xds_listen": f"127.0.0.1:{fronts['xds_listen']}",
+            }
+        )
+    )
+
+    def status(front: str) -> str:
+        """The first line of a front's reply to a request that it refuses."""
+        with socket.create_connection(("127.0.0.1", fronts[front]), timeout=30) as sock:
+            sock.sendall(b"GET /nowhere HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            return sock.makefile().readline()
+
+    with deployment(tmp_path) as rig:
+        rig.runs_in = tmp_path
+        rig.start()
+        refusals = {front: status(front) for front in fronts}
+        assert all(line.startswith("HTTP/1.1 4") for line in refusals.values())
+        rig.start()
+        rig.stop(0)
+        assert rig.ended(0)
+        assert {front: status(front) for front in fronts} == refusals
+        rig.start()  # these listeners are handed over again
+        rig.stop(1)
+        assert rig.ended(1)
+        assert {front: status(front) for front in fronts} == refusals
+
+
 @pytest.mark.parametrize("cause", [-1, 1 << 40])
 def test_a_bad_release_during_an_upgrade_leaves_the_calls_of_others_alone(tmp_path: Path, cause: int) -> None:
     """Failure: the processes parted over it, and callers were never told of the ends of their calls."""
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -428,14 +428,15 @@
 class Program:
     """A process of the program, with a clearing server that answers each set-up as it is told to."""
 
-    def __init__(self, path: Path, environ: dict[str, str], held: int | None = None) -> None:
+    def __init__(self, path: Path, environ: dict[str, str], held: int | None = None, folder: Path = ROOT) -> None:
+        """folder: where the program looks for its deploy/."""
         self.process = subprocess.Popen(
             [sys.executable, "-m", "sageweir"],
-            cwd=ROOT,
+            cwd=folder,
             stderr=subprocess.PIPE,
             text=True,
             pass_fds=() if held is None else (held,),
-            env=os.environ | {"NODE_CONFIG": str(path)} | environ,
+            env=os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)} | environ,
         )
         assert self.process.stderr is not None
         self.log: list[str] = []
