--- a/sageweir/cluster/show.py
+++ b/sageweir/cluster/show.py
@@ -15,7 +15,7 @@
     return f"{ms / 1000:.1f} s ago" if ms < 120_000 else f"{ms / 60_000:.0f} min ago"
 
 
-def _lease_lines(shown: dict[str, Any]) -> list[str]:
+def lease_lines(shown: dict[str, Any]) -> list[str]:
     """The holder, term and reason of each leader lease, and the voters; nothing where no voters are configured."""
     lines = []
     for role, lease in shown.get("duties", {}).items():
@@ -109,7 +109,7 @@
     dropped = {**shown["dropped"], "unreadable": shown.get("unreadable", 0)}
     if any(dropped.values()):
         lines.append("dropped: " + ", ".join(f"{why} {count}" for why, count in dropped.items() if count))
-    lines += _lease_lines(shown)
+    lines += lease_lines(shown)
     for row in [COLUMNS, *rows]:
         lines.append("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
     return "\n".join(lines)
--- a/tests/test_slow_replies.py
+++ b/tests/test_slow_replies.py
@@ -15,6 +15,7 @@
 from sageweir.cluster.leases.store import PersistedState
 from sageweir.cluster.leases.term_reservation import covers, reserve
 from sageweir.cluster.leases.voter import Timing, Voter
+from sageweir.cluster.show import lease_lines
 
 VOTERS = ("v0", "v1", "v2")
 TIMING = Timing(lease_ms=1000.0)
@@ -110,6 +111,19 @@
     assert estimate.timeout_ms > 400.0
 
 
+def test_an_operator_is_told_why_nobody_holds_a_role() -> None:
+    one = Candidate("d", "a", 1, VOTERS, TIMING, Random(1))
+    one.start(0.0)
+    one.wake(300.0)
+    one.wake(600.0)
+    status = {"holder": None, "here": "idle", "why_here": one.why, "last_failure": one.last_failure}
+    voter = {"takes_part": True, "bound_to": {}, "last_write_ms": 412.0}
+    shown = {"duties": {"d": status}, "electors": VOTERS, "electors_version": 1, "electors_told": "", "elector": voter}
+    first, _, last = lease_lines(shown)
+    assert first.endswith("pre-vote for term 1 failed: no reply from v0, v1, v2; after 300 ms, replies take 0 ms")
+    assert last.endswith("its last write took 412 ms")
+
+
 class SlowDisk:
     """Writes end when the test says so."""
 
