--- a/sageweir/cluster/leases/term_reservation.py
+++ b/sageweir/cluster/leases/term_reservation.py
@@ -10,8 +10,9 @@
 from sageweir.cluster.leases.store import PersistedState
 from sageweir.cluster.leases.voter import UNKNOWN_ROLES
 
-# In each write. Above the jump of another voter that recovers later, so that its terms are reserved here too.
-RESERVED_TERMS = 4 * TERM_JUMP
+# In each write. Above the jump of another voter that recovers up to a minute later, so that its terms are reserved here
+# too: after a jump, terms follow the seconds of the voter's start.
+RESERVED_TERMS = 64 * TERM_JUMP
 
 
 def reserve(state: PersistedState, count: int = RESERVED_TERMS) -> PersistedState:
