Open a new connection after one is lost while calls stand: servers repeat releases there

Cause: a server repeats a release only on the next connection that is opened. ServerLink.lost and _redial opened none where the last dial was under redial_ms old and another connection was up.

Change: a connection that is lost while calls stand, unless the server closed it after a whole message, is followed by a new one, dialled after the loss, also where connections are crowded, for release_for_ms. A silent connection that is replaced is closed in order, not dropped with what may be on its way there. A loss with nothing missed and another connection up is no longer followed by a dial. Nothing new remembers releases.

Ruled out: the caller's connection (open throughout) and the exchange (it never heard of the end).

--- a/sageweir/net/server_connection.py
+++ b/sageweir/net/server_connection.py
@@ -51,6 +51,7 @@
         self.attempts: dict[str, Attempt] = {}  # by call; out, standing, or over without the server's word
         self.suspect = False  # silent after a set-up: nothing more is sent here
         self.spoilt = False  # it sent what can't be read: what else comes is not listened to
+        self.heard_all = False  # the server has closed it, and all that it sent was read
         self.unwritten: list[Attempt] = []  # set-ups of which some bytes wait here for the server to read
 
     def received(self, message: Message) -> None:
@@ -126,6 +127,9 @@
         self.opened_at = self.clock.now()
         self.link.opened(self)
 
+    def peer_left(self) -> None:
+        self.heard_all = not self.spoilt and not self.wire.partial()
+
     def lost(self, reset: bool) -> None:
         self.link.lost(self, reset)
 
--- a/sageweir/net/server_link.py
+++ b/sageweir/net/server_link.py
@@ -39,6 +39,8 @@
         self.dial_timer: Timer | None = None
         self.redial: Timer | None = None
         self.dial_failed_at = 0.0
+        self.connection_lost_at: float | None = None  # with calls established; None once one dialled since is open
+        self.dialed_since_loss = False
         self.ended = False
         self.known = False  # a connection has been up
         self.half_closed = False  # no more connections are opened; what servers say last is heard
@@ -50,13 +52,13 @@
     def dial(self) -> None:
         """Open one more connection, unless one is coming up."""
         full = len(self.connections) >= self.side.limits.server_connections or (
-            bool(self.connections) and self.side.crowded()
+            bool(self.connections) and self.side.crowded() and not self._awaits_repeats()
         )
         # Guards against a dial that reaches another server: the address of one that is gone is given anew.
         gone = self.ended or self.half_closed or self.state is api.ServerState.GONE
         if self.dialing is not None or gone or full:
             return
-        self.dialed_at = self.side.clock.now()
+        self.dialed_at, self.dialed_since_loss = self.side.clock.now(), True
         self.dialing = asyncio.get_running_loop().create_task(self._dial())
         self.dial_timer = self.side.clock.after(self.side.limits.dial_ms, self._dial_late)
 
@@ -113,7 +115,10 @@
 
     def _redial(self) -> None:
         self.redial = None
-        if not any(c.up and not c.suspect for c in self.connections):
+        self._dial_if_needed()
+
+    def _dial_if_needed(self) -> None:
+        if self._awaits_repeats() or not any(c.up and not c.suspect for c in self.connections):
             self.dial()
 
     def opened(self, connection: ServerConnection) -> None:
@@ -124,6 +129,10 @@
         self._dial_over()
         self.known = True
         self.connections.append(connection)
+        if self.dialed_since_loss:
+            self.connection_lost_at = None
+        elif self._awaits_repeats():
+            self._redial_later()
         releases, queue, self.queue = dict(self.releases), self.queue, []
         self.releases.clear()
         for name, cause in releases.items():
@@ -137,8 +146,8 @@
     def _retire(self, connection: ServerConnection) -> None:
         """Close a silent connection once another is up and no set-up is out on it."""
         fresh = any(c.up and not c.suspect for c in self.connections)
-        if fresh and not any(a.state is AttemptState.IN_FLIGHT for a in connection.attempts.values()):
-            connection.drop()
+        if fresh and not connection.out():
+            connection.end()  # not dropped: a release may be on its way there
 
     def lost(self, connection: ServerConnection, reset: bool) -> None:
         if connection is self.coming:  # its handshake never ended
@@ -153,15 +162,28 @@
         if self.state is api.ServerState.GONE and not self.connections:
             self.close("it is gone")
             return
+        if self.standing and not connection.heard_all:
+            self.expect_repeated_releases()
         # A reset alone is no sign that the process died and cut its calls: single connections break too. The
         # dial that follows tells: a process that is gone refuses it.
         if self.state is api.ServerState.IN_SERVICE or self.standing:
             # Guards against a server that takes connections and drops them: no dial after dial.
             if self.side.clock.now() - self.dialed_at >= self.side.limits.redial_ms:
-                self.dial()
+                self._dial_if_needed()
             else:
                 self._redial_later()
 
+    def expect_repeated_releases(self) -> None:
+        """A connection is lost, and releases of established calls may be lost with it.
+
+        The server sends them again on the next connection that is opened, so one has to be, even if others are up.
+        """
+        self.connection_lost_at, self.dialed_since_loss = self.side.clock.now(), False
+
+    def _awaits_repeats(self) -> bool:
+        lost_at = self.connection_lost_at
+        return lost_at is not None and self.side.clock.now() - lost_at < self.side.limits.release_for_ms
+
     # Attempts
 
     def place(self, attempt: Attempt) -> None:
