Dial servers whose connections are all silent where connections are crowded

Cause: with spare_server_connections reached, a server that has a connection, be it silent, was not dialled. Only a failed dial tells a vanished machine from a silent one, so its calls were never cut; and a server that works and was silent for 2 s got nothing new.

Change: such a server is dialled, in place of the silent connection.

Ruled out: the list, callers' connections, the dial's time limit.

--- a/sageweir/config.py
+++ b/sageweir/config.py
@@ -415,6 +415,7 @@
         accept_at_once=min(base.accept_at_once, sockets // 16),
         leaving_connections=sockets // 16,
         spare_server_connections=max(8, sockets // 4 - 8),
+        replacement_dials=sockets // 64,
         write_bytes=min(base.write_bytes, max(64 * 1024, room * 4096)),
         kept_attempts=min(base.kept_attempts, room * 16),
         kept_ids=min(base.kept_ids, room * 128),
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -30,6 +30,7 @@
     server_connections: int = 8  # to one clearing server
     spread_connections: int = 4  # of these, over which set-ups are spread
     spare_server_connections: int = 248  # to all servers: no more than one to each is opened from then on
+    replacement_dials: int = 16  # at once, to servers whose connections are all silent, beyond that
     leaving_connections: int = 64  # of callers, that are being closed
     leaving_turns: int = 64  # of the loop, in which what lies unread on a connection is read before it is closed
     send_deferrals: int = 3  # of one attempt, for input of its caller that was not read yet
--- a/sageweir/net/server_link.py
+++ b/sageweir/net/server_link.py
@@ -51,17 +51,25 @@
 
     def dial(self) -> None:
         """Open one more connection, unless one is coming up."""
-        full = len(self.connections) >= self.side.limits.server_connections or (
-            bool(self.connections) and self.side.crowded() and not self._awaits_repeats()
-        )
+        full = len(self.connections) >= self.side.limits.server_connections
         # Guards against a dial that reaches another server: the address of one that is gone is given anew.
         gone = self.ended or self.half_closed or self.state is api.ServerState.GONE
-        if self.dialing is not None or gone or full:
+        if self.dialing is not None or gone or full or not self._has_descriptor():
             return
         self.dialed_at, self.dialed_since_loss = self.side.clock.now(), True
         self.dialing = asyncio.get_running_loop().create_task(self._dial())
         self.dial_timer = self.side.clock.after(self.side.limits.dial_ms, self._dial_late)
 
+    def _has_descriptor(self) -> bool:
+        """Whether there is a descriptor for one more connection: the first one, or one in place of another."""
+        if not self.connections or not self.side.crowded() or self._awaits_repeats():
+            return True
+        unusable = all(connection.suspect or connection.half_closed for connection in self.connections)
+        return unusable and self.side.replacements.begin(self)
+
+    def _has_sound_connection(self) -> bool:
+        return any(connection.up and not connection.suspect for connection in self.connections)
+
     def _dial_late(self) -> None:
         # Guards against a machine that has vanished: a dial there never ends by itself.
         self._give_dial_up()
@@ -79,6 +87,7 @@
         if self.dial_timer is not None:
             self.dial_timer.cancel()
         self.dialing = self.dial_timer = self.coming = None
+        self.side.replacements.end(self)
 
     def _give_dial_up(self) -> None:
         task, coming = self.dialing, self.coming
@@ -115,10 +124,11 @@
 
     def _redial(self) -> None:
         self.redial = None
-        self._dial_if_needed()
+        self.dial_if_needed()
 
-    def _dial_if_needed(self) -> None:
-        if self._awaits_repeats() or not any(c.up and not c.suspect for c in self.connections):
+    def dial_if_needed(self) -> None:
+        """Dial unless a connection is sound and has said all that is due."""
+        if self._awaits_repeats() or not self._has_sound_connection():
             self.dial()
 
     def opened(self, connection: ServerConnection) -> None:
@@ -139,14 +149,14 @@
             connection.send(Message(Kind.RELEASE, name, cause=cause))
         for attempt in queue:
             self.side.send(attempt)
+        crowded = self.side.crowded()
         for old in list(self.connections):
-            if old.suspect:
+            if old.suspect or (crowded and old is not connection):
                 self._retire(old)
 
     def _retire(self, connection: ServerConnection) -> None:
-        """Close a silent connection once another is up and no set-up is out on it."""
-        fresh = any(c.up and not c.suspect for c in self.connections)
-        if fresh and not connection.out():
+        """Close a connection once another is sound and no set-up is out on it."""
+        if self._has_sound_connection() and not connection.out():
             connection.end()  # not dropped: a release may be on its way there
 
     def lost(self, connection: ServerConnection, reset: bool) -> None:
@@ -169,7 +179,7 @@
         if self.state is api.ServerState.IN_SERVICE or self.standing:
             # Guards against a server that takes connections and drops them: no dial after dial.
             if self.side.clock.now() - self.dialed_at >= self.side.limits.redial_ms:
-                self._dial_if_needed()
+                self.dial_if_needed()
             else:
                 self._redial_later()
 
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -13,6 +13,7 @@
 from sageweir.config import Address, Listed
 from sageweir.exchange import Exchange
 from sageweir.limits import Limits
+from sageweir.net.replacement_dials import ReplacementDials
 from sageweir.net.server_link import ServerLink
 from sageweir.net.wire import Wire
 
@@ -28,6 +29,7 @@
         self.clock, self.limits, self.exchange, self.wire = clock, limits, exchange, wire
         self.links: dict[str, ServerLink] = {}
         self.leaving: set[ServerLink] = set()  # gone from the list, with calls that may still stand
+        self.replacements = ReplacementDials(limits.replacement_dials)
         self.draw = Random()  # names tests; decides nothing
         exchange.servers = self
 
--- a/tests/test_missed_releases.py
+++ b/tests/test_missed_releases.py
@@ -97,3 +97,47 @@
         await world.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("dials", [1, 2])
+def test_callers_learn_that_servers_have_vanished_where_connections_are_crowded(dials: int) -> None:
+    """Failure: a server with a connection was not dialled there, so nothing showed that its machine was gone."""
+    limits = replace(LIMITS, spare_server_connections=1, replacement_dials=dials)
+
+    async def run() -> None:
+        world = World("lines", limits=limits)
+        await world.open(4)
+        calls = dict(zip("ABCD", ("s0", "s1", "s2", "s3"), strict=True))
+        for call, server in calls.items():
+            for line in (f"c> setup {call} dest={server[1]} key=n{server}", f"{server}< setup {call}"):
+                await world.line(line)
+            for line in (f"{server}> answer {call}", f"c< answer {call}"):
+                await world.line(line)
+        for server in ("s0", "s1", "s2"):
+            await world.line(f"{server}: vanish")
+        for _ in range(16):  # s3 works, and is heard
+            await world.wait(limits.release_for_ms / 16)
+            await world.line("s3> status D")
+        told = {message.call[0].upper(): message for _, message in world.stand_ins["c"].got}
+        assert {call: message.kind for call, message in told.items()} == dict.fromkeys("ABC", Kind.RELEASE)
+        assert not world.servers.replacements.waiting
+        await world.close()
+
+    asyncio.run(run())
+
+
+def test_a_server_that_was_silent_gets_set_ups_where_connections_are_crowded() -> None:
+    """Failure: its one connection was not used while it counted as silent, and no other one was opened."""
+    limits = replace(LIMITS, spare_server_connections=1)
+
+    async def run() -> None:
+        world = World("lines", limits=limits)
+        await world.open(2)
+        for line in ("c> setup A", "s0< setup A", "s0> answer A", "c< answer A", "wait 2500", "c> setup B"):
+            await world.line(line)
+        await world.line("s0< setup B")
+        await world.wait(limits.linger_ms)
+        assert len(world.stand_ins["s0"].peers) == 1  # the silent one is closed: no more than one is kept there
+        await world.close()
+
+    asyncio.run(run())
