Give the calls of an upgrade one owner in each process; tell their ends exactly once

Cause: Handover._announced meant "the call was named" and was read as "the other process knows all of it". The release was taken out of pending_releases and not sent, and the new process then adopted the call as if it stood.

Change: Call.is_announced replaces _announced; a call is named again when its state changes, and its end is always reported. In the new process one table (predecessor_calls.py) replaces _passed, _kept and predecessor_calls.

Ruled out: the caller's way back, the message, the channel.

--- a/sageweir/attempts.py
+++ b/sageweir/attempts.py
@@ -155,6 +155,7 @@
     current_attempt: Attempt | None = None
     not_before: float = 0.0  # end of the release guard: no attempt may be sent earlier
     watchdog: Timer | None = None
+    is_announced: bool = False  # the other process of an upgrade was told that it is kept here
 
     @property
     def is_established(self) -> bool:
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -31,17 +31,24 @@
 from sageweir.handover import EstablishedCall
 from sageweir.limits import Limits
 from sageweir.messages import Cause
+from sageweir.predecessor_calls import PredecessorCalls
 
 log = logging.getLogger("sageweir.exchange")
 
 
 @dataclass(frozen=True, slots=True)
 class PendingRelease:
-    """The end of a call that its caller must be notified of; until: when that is given up."""
+    """The end of a call that its caller must be notified of; until: when that is given up.
 
-    call: Call
+    announced: the other process of an upgrade was told of the call, and must learn that it is over.
+    """
+
+    call: str
+    service_class: str
+    caller: Caller
     cause: int
     until: float
+    announced: bool = False
 
 
 class Exchange:
@@ -53,7 +60,7 @@
         self.servers: ServerTransport | None = None
         # Reports the end of a call that is not open here to the other process of an upgrade; True if it was reported.
         self.notify_other_process: Callable[[str, int, bool], bool] | None = None
-        self.predecessor_calls: dict[str, str] = {}  # call to class; the predecessor answers them, on connections here
+        self.predecessor_calls = PredecessorCalls()
         self.calls: dict[str, Call] = {}
         self.unanswered = 0
         self.open_request_bytes = 0  # of all calls, as callers have said them
@@ -356,6 +363,8 @@
             self._close_attempt(attempt, AttemptResult(api.Outcome.CANCELLED))
             if self.servers is not None:
                 self.servers.release(attempt, cause)
+            if call.is_announced:
+                self._report_over(call_id, cause)
         else:
             self._remove_call(call_id)
             self._post(api.CallerGone(call_id))
@@ -367,7 +376,7 @@
 
     def outstanding(self) -> int:
         """Number of calls that have not ended: unanswered or established."""
-        return len(self.calls) + len(self.predecessor_calls)
+        return len(self.calls) + len(self.predecessor_calls.unanswered())
 
     def server_counts(self) -> tuple[int, int]:
         """Number of listed clearing servers, and of those that the decision module avoids now."""
@@ -377,23 +386,32 @@
 
     def on_unknown_call_end(self, call_id: str, cause: int, by_caller: bool) -> bool:
         """A call that is not open here has ended; True if it is known, here or in the other process."""
-        self.predecessor_calls.pop(call_id, None)
         return call_id in self._ended_ids or (
             self.notify_other_process is not None and self.notify_other_process(call_id, cause, by_caller)
         )
 
+    def _report_over(self, call_id: str, cause: int) -> None:
+        """Report that a call is over which the other process knows, and that its caller needs no notification."""
+        if self.notify_other_process is not None:
+            self.notify_other_process(call_id, cause, True)
+
+    def forget_announcements(self) -> None:
+        """The successor is gone, with what it was told."""
+        for call in self.calls.values():
+            call.is_announced = False
+
     def hand_over_calls(self) -> list[EstablishedCall]:
-        """Detach the established calls for the successor; the result also names those that stay in this process.
+        """Detach the established calls for the successor; the result also names, once, those that stay here.
 
         Ended calls whose callers were not notified yet go too, as the callers come back to the successor.
         """
         handed_over = [
             EstablishedCall(
                 call_id,
-                pending.call.request.service_class,
+                pending.service_class,
                 "",
                 self.clock.now(),
-                pending.call.caller.host,
+                pending.caller.host,
                 ended_cause=pending.cause,
                 release_until=pending.until,
             )
@@ -407,6 +425,9 @@
             # A draining server may accept no connection from the successor; only this process would then learn how
             # its calls end.
             kept = not self.servers.detach(attempt)
+            if kept and call.is_announced:
+                continue
+            call.is_announced = kept
             handed_over.append(
                 EstablishedCall(
                     call_id, call.request.service_class, attempt.server, attempt.sent_at, call.caller.host, kept
@@ -428,18 +449,25 @@
             return True
         request = Request(call_id, established.service_class, 0.0)
         if established.ended_cause is not None:
-            until = min(established.release_until, self.clock.now() + self.limits.release_for_ms)
-            self._deliver_release(PendingRelease(Call(request, caller), established.ended_cause, until))
+            self.notify_caller(
+                call_id, caller, established.ended_cause, established.service_class, established.release_until
+            )
             return True
         attempt = Attempt(request, 0, established.server, established.since, 0.0, AttemptState.ESTABLISHED)
         if self.servers is None or not self.servers.adopt(attempt):
-            until = self.clock.now() + self.limits.release_for_ms
-            self._deliver_release(PendingRelease(Call(request, caller, 1, attempt), Cause.RESET, until))
+            self.notify_caller(call_id, caller, Cause.RESET, established.service_class)
             return False
         self.calls[call_id] = Call(request, caller, 1, attempt)
         self.open_request_bytes += request.size
         return True
 
+    def notify_caller(
+        self, call_id: str, caller: Caller, cause: int, service_class: str = "", until: float = float("inf")
+    ) -> None:
+        """Notify the caller of the end of a call of the other process; until: when that is given up."""
+        until = min(until, self.clock.now() + self.limits.release_for_ms)
+        self._deliver_release(PendingRelease(call_id, service_class, caller, cause, until))
+
     def on_call_end_elsewhere(self, call_id: str, cause: int, by_caller: bool) -> bool:
         """The other process has learned that a call ended; True if the call is known here."""
         call = self.calls.get(call_id)
@@ -508,13 +536,17 @@
         self._close_attempt(attempt, result)
         if was_established and call is not None:
             until = self.clock.now() + self.limits.release_for_ms
-            self._deliver_release(PendingRelease(call, result.cause, until))
+            self._deliver_release(
+                PendingRelease(call_id, call.request.service_class, call.caller, result.cause, until, call.is_announced)
+            )
 
     def _deliver_release(self, pending: PendingRelease) -> None:
         # The caller's connection may be down when its call ends: retried for a while, on any connection of its host.
-        call_id = pending.call.request.call
+        call_id = pending.call
         self.pending_releases.pop(call_id, None)
-        if pending.call.caller.release(call_id, pending.cause):
+        if pending.caller.release(call_id, pending.cause):
+            if pending.announced:
+                self._report_over(call_id, pending.cause)
             return
         if self.clock.now() >= pending.until:
             log.warning("call %s: release not delivered, no connection to its caller", call_id)
@@ -523,7 +555,7 @@
             self.clock.after(self.limits.release_retry_ms, lambda: self._retry_release(pending))
 
     def _retry_release(self, pending: PendingRelease) -> None:
-        if self.pending_releases.get(pending.call.request.call) is pending:  # else the successor has it
+        if self.pending_releases.get(pending.call) is pending:  # else the successor has it
             self._deliver_release(pending)
 
     # Shutdown of the process
@@ -559,7 +591,9 @@
         obligations += [
             f"call {call_id}: its caller was not notified of the release" for call_id in self.pending_releases
         ]
-        obligations += [f"call {call_id}: to be answered by another process" for call_id in self.predecessor_calls]
+        obligations += [
+            f"call {call_id}: to be answered by another process" for call_id in self.predecessor_calls.unanswered()
+        ]
         module = self.controller
         obligations += [
             f"call {call_id}: known to the decision module only"
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -70,9 +70,6 @@
         self._listener: socket.socket | None = None
         self._known: asyncio.Future[HelloReply | None] = asyncio.get_running_loop().create_future()
         self._stopping = False
-        self._passed: dict[str, CallerConnection] = {}  # calls of the predecessor's, on connections that came from it
-        self._kept: dict[str, EstablishedCall] = {}  # calls that the predecessor keeps: taken up when it is gone
-        self._announced: set[str] = set()  # calls that this process keeps, and has named to its successor
         self._tasks: set[asyncio.Task[None]] = set()
         self._unidentified: list[Channel] = []  # that have not said who they are
         self.own_listeners: dict[str, socket.socket] = {}  # by key, for the successor
@@ -217,39 +214,49 @@
         connection.opened_at, connection.heard_at = message.opened_at, message.heard_at
         connection.begun_at = message.begun_at
         connection.standing.update(message.standing)
+        for call in message.standing:
+            self.exchange.predecessor_calls.add_caller(call, connection)
         for call, service_class in message.owed:
             connection.open.add(call)
-            self.exchange.predecessor_calls[call] = service_class
-        self._passed.update(dict.fromkeys([*message.standing, *(call for call, _ in message.owed)], connection))
+            self.exchange.predecessor_calls.add_caller(call, connection, service_class)
         task = asyncio.get_running_loop().create_task(self.callers.take_over(sock, connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def _relay(self, message: RelayedMessage) -> None:
-        connection, kind = self._passed.get(message.call), RELAYED_KINDS.get(message.word)
+        kind, calls = RELAYED_KINDS.get(message.word), self.exchange.predecessor_calls
         if kind is None:
             log.warning("call %s: a message of unknown type %r is not passed on", message.call, message.word)
             return
-        if connection is None or (message.call not in connection.open and message.call not in connection.standing):
-            return  # its caller has ended it, or is gone
-        self.exchange.predecessor_calls.pop(message.call, None)
+        call = calls.find(message.call)
+        if call is None or call.caller is None:
+            return  # its caller has ended it
         if kind is Kind.ANSWER:
-            connection.answer(message.call, message.text)
+            call.service_class = None
+            call.caller.answer(message.call, message.text)
             return
-        del self._passed[message.call]
-        self._kept.pop(message.call, None)
-        connection.forget_call(message.call)
-        connection.send(Message(kind, message.call, message.fields, message.cause, message.text))
+        calls.remove(message.call)
+        call.caller.forget_call(message.call)
+        if kind is Kind.RELEASE:
+            self.exchange.notify_caller(message.call, call.caller, message.cause)
+        else:
+            call.caller.send(Message(kind, message.call, message.fields, message.cause, message.text))
 
     def _adopt(self, message: EstablishedCall) -> None:
+        calls = self.exchange.predecessor_calls
         if message.kept:
-            self._kept[message.call] = message
+            calls.keep(message)
             return
-        caller = self._passed.pop(message.call, None) or self.callers.at_host(message.host)
-        if not self.exchange.adopt(message, caller):
+        known = calls.remove(message.call)
+        caller = known.caller if known is not None else None
+        if not self.exchange.adopt(message, caller or self.callers.at_host(message.host)):
             log.warning("call %s: its server %s is not known here", message.call, message.server)
 
     def _on_call_ended(self, channel: Channel, message: CallEnded) -> None:
+        if channel is self.predecessor and (known := self.exchange.predecessor_calls.remove(message.call)) is not None:
+            if known.caller is not None:
+                known.caller.forget_call(message.call)
+            return
         is_known = self.exchange.on_call_end_elsewhere(message.call, message.cause, message.by_caller)
         if not is_known and not message.returned:
             # It crossed with the call itself, which is on its way over there.
@@ -257,10 +264,9 @@
 
     def report_call_end(self, call: str, cause: int, by_caller: bool) -> bool:
         """The end of a call that is not open here; True where the other process is told."""
-        connection = self._passed.pop(call, None)
-        if connection is not None and not by_caller:
-            connection.release(call, cause)
-        self._kept.pop(call, None)
+        known = self.exchange.predecessor_calls.remove(call)
+        if known is not None and known.caller is not None and not by_caller:
+            self.exchange.notify_caller(call, known.caller, cause)
         over = CallEnded(call, cause, by_caller, False)
         if not self.succession.should_forward(over):
             return False
@@ -273,6 +279,7 @@
         """The other process has ended, or speaks no more."""
         if channel is self.successor:
             self.successor, self.succession.has_successor = None, False
+            self.exchange.forget_announcements()
         elif channel is self.predecessor:
             self.predecessor, self.succession.has_predecessor = None, False
             self._settle(None)
@@ -282,17 +289,14 @@
 
     def _fail_owed(self) -> None:
         """Give the final answers that the predecessor owed, and can't give any more; take up what it kept."""
-        kept, self._kept = self._kept, {}
-        for message in kept.values():
-            self._adopt(replace(message, kept=False))
-        owed, self.exchange.predecessor_calls = self.exchange.predecessor_calls, {}
-        for call, service_class in owed.items():
-            connection = self._passed.pop(call, None)
-            if connection is not None:
-                log.warning("call %s: failed, as the process that had taken it is gone", call)
-                self.exchange.counters.count_result(service_class, RequestResult.ABORTED)
-                connection.fail(call)
-        self._passed.clear()
+        for call_id, call in self.exchange.predecessor_calls.remove_all().items():
+            if call.kept is not None:
+                caller = call.caller or self.callers.at_host(call.kept.host)
+                self.exchange.adopt(replace(call.kept, kept=False), caller)
+            elif call.service_class is not None and call.caller is not None:
+                log.warning("call %s: failed, as the process that had taken it is gone", call_id)
+                self.exchange.counters.count_result(call.service_class, RequestResult.ABORTED)
+                call.caller.fail(call_id)
 
     # Stopping
 
@@ -320,10 +324,7 @@
             if connection.movable():
                 self._pass(connection, channel)
         for message in self.exchange.hand_over_calls():
-            if message.call not in self._announced:
-                channel.send(message)
-            if message.kept:
-                self._announced.add(message.call)
+            channel.send(message)
 
     def _pass(self, connection: CallerConnection, channel: Channel) -> None:
         calls = self.exchange.calls
