Publish under the term in force after a takeover with a feed that is behind

A new publisher publishes once its feed has caught up, also where nothing changed.

Ruled out: the lease's term, the transport of states.

--- a/sageweir/control/line.py
+++ b/sageweir/control/line.py
@@ -77,7 +77,7 @@
         """Publish a new plan; without the role or with an older feed state, only remove the servers that it stops."""
         self._newest = (found, stopped, feed)
         if self.term is not None and feed >= self.feed:
-            if self.store.update(found, stopped):
+            if self.store.update(found, stopped, always=not self._has_published(self.term)):
                 self._publish(feed)
         elif self._remove_stopped():
             self._changed()
@@ -91,6 +91,9 @@
             self.store.update(found, stopped, always=True)
             self._publish(feed)
 
+    def _has_published(self, term: int) -> bool:
+        return self.published_version[:1] == (term,)
+
     def stop_publishing(self) -> None:
         """Stop publishing."""
         self.term = None
--- a/sageweir/control/snapshot.py
+++ b/sageweir/control/snapshot.py
@@ -82,17 +82,16 @@
 
     def __init__(self, epoch: str, encode: Encoder | None = None) -> None:
         """epoch: new with each start of the service; letters and digits."""
-        self.encode, self._number = encode, 0
+        self.encode, self._epoch, self._number = encode, epoch, 0
         self.present = Snapshot(epoch, 0, {}, {})
 
     def start_epoch(self, epoch: str) -> None:
-        """Restart numbering under a new epoch; unchanged resources keep their versions."""
-        old, self._number = self.present, 0
-        self.present = Snapshot(epoch, 0, old.types, old.versions, old.stopped)
+        """Number the updates that follow in a new epoch, from 1; `present` stays as it is until the next one."""
+        self._epoch, self._number = epoch, 0
 
     def update(self, bodies: Mapping[Key, Body], stopped: frozenset[str], always: bool = False) -> bool:
         """Replace all resources; returns whether any was added, changed or removed. always: count it as changed."""
-        old, epoch = self.present, self.present.epoch
+        old, epoch = self.present, self._epoch
         types: dict[str, dict[str, Resource]] = {t: {} for t in ORDER}
         versions = dict(old.versions)
         number = self._number + 1
