Do not run a call twice whose id comes again, here or at the other process of an upgrade

Cause: on_setup_request looked for the id among open calls only, and the processes of an upgrade knew nothing of each other's.

Change: an ended call keeps whether a server may have run it, and a set-up with its id gets a failure. The processes tell each other what they have sent (SentCalls), only to a build that says it reads this.

Ruled out: ids still open in the same process.

--- a/sageweir/attempts.py
+++ b/sageweir/attempts.py
@@ -155,8 +155,15 @@
     current_attempt: Attempt | None = None
     not_before: float = 0.0  # end of the release guard: no attempt may be sent earlier
     watchdog: Timer | None = None
+    was_sent_before: bool = False  # by an attempt that has ended
     is_announced: bool = False  # the other process of an upgrade was told that it is kept here
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether a clearing server may have run it."""
+        attempt = self.current_attempt
+        return self.was_sent_before or self.is_established or (attempt is not None and attempt.written)
+
     @property
     def is_established(self) -> bool:
         return self.current_attempt is not None and self.current_attempt.state is AttemptState.ESTABLISHED
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -65,12 +65,15 @@
         self.unanswered = 0
         self.open_request_bytes = 0  # of all calls, as callers have said them
         self.pending_releases: dict[str, PendingRelease] = {}  # ended calls whose caller was not notified yet
+        # Reports to the other process of an upgrade that a call was sent to a server; None if there is none.
+        self.report_sent_call: Callable[[str], None] | None = None
+        self._sent_elsewhere: OrderedDict[str, None] = OrderedDict()  # calls that the other process has sent
         self.counters = Counters(c.name for c in settings.classes)
         self.observer: RequestObserver | None = None
         # Upper bound of the time for which the input of this loop turn waited to be read.
         self.input_delay_ms: Callable[[], float] = lambda: 0.0
         self._in_flight: dict[tuple[str, int], Attempt] = {}
-        self._ended_ids: OrderedDict[str, None] = OrderedDict()  # ids of ended calls, oldest first
+        self._ended_ids: OrderedDict[str, bool] = OrderedDict()  # ended calls, oldest first; whether a server had them
         self._inbox: deque[api.Event] = deque()
         self._scheduled = False
 
@@ -191,6 +194,12 @@
             return SendDecision.DEFER
         return SendDecision.SEND
 
+    def on_attempt_written(self, attempt: Attempt) -> None:
+        """The set-up was handed to a connection: the server may execute it."""
+        attempt.written = True
+        if self.report_sent_call is not None:
+            self.report_sent_call(attempt.request.call)
+
     def time_left_ms(self, attempt: Attempt) -> float:
         """Time until the attempt's timeout."""
         return attempt.sent_at + attempt.timeout_ms - self.clock.now()
@@ -219,9 +228,12 @@
         self._in_flight.pop((call_id, attempt.number), None)
         if attempt.timer is not None:
             attempt.timer.cancel()
+        if attempt.written and call_id in self._ended_ids:
+            self._ended_ids[call_id] = True
         call = self.calls.get(call_id)
         if call is not None and call.current_attempt is attempt:
             call.current_attempt = None
+            call.was_sent_before |= attempt.written
             if result.outcome in (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED):
                 call.not_before = now + self.limits.guard_ms
         rate, share = read_report(result.report)
@@ -266,7 +278,7 @@
         if call.watchdog is not None:
             call.watchdog.cancel()
         call.caller.forget_call(call_id)
-        self._ended_ids[call_id] = None
+        self._ended_ids[call_id] = call.was_sent
         if len(self._ended_ids) > self.limits.kept_ids:
             self._ended_ids.popitem(last=False)
 
@@ -299,8 +311,8 @@
         turned_away: refuse it at once, as callers are being sent to other controllers.
         """
         call_id = request.call
-        if call_id in self.calls or call_id in self.predecessor_calls:
-            log.warning("call %s: duplicate set-up not accepted, the id is in use", call_id)
+        if self._is_known(call_id):
+            log.warning("call %s: duplicate set-up not accepted, the id is in use or was used", call_id)
             return False
         if turned_away or self._is_full(request):
             log.warning(
@@ -339,6 +351,15 @@
         )
         return True
 
+    def _is_known(self, call_id: str) -> bool:
+        """Whether the call is open, or a clearing server may have run it."""
+        return (
+            call_id in self.calls
+            or call_id in self.predecessor_calls
+            or call_id in self._sent_elsewhere
+            or self._ended_ids.get(call_id, False)
+        )
+
     def _is_full(self, request: Request) -> bool:
         """Whether the open calls leave no room for another request."""
         return (
@@ -384,6 +405,17 @@
 
     # Handover of calls between an old and a new process
 
+    def sent_calls(self) -> list[str]:
+        """The calls that this process has sent to a server, as far as it remembers them."""
+        ended = [call_id for call_id, was_sent in self._ended_ids.items() if was_sent]
+        return [*ended, *(call_id for call_id, call in self.calls.items() if call.was_sent)]
+
+    def on_calls_sent_elsewhere(self, call_ids: Iterable[str]) -> None:
+        """The other process has sent these calls to a server: they may not be run here as well."""
+        self._sent_elsewhere.update(dict.fromkeys(call_ids))
+        while len(self._sent_elsewhere) > self.limits.kept_ids:
+            self._sent_elsewhere.popitem(last=False)
+
     def on_unknown_call_end(self, call_id: str, cause: int, by_caller: bool) -> bool:
         """A call that is not open here has ended; True if it is known, here or in the other process."""
         return call_id in self._ended_ids or (
--- a/sageweir/handover.py
+++ b/sageweir/handover.py
@@ -34,19 +34,24 @@
 class Hello:
     """First message of the new process; settings: digest of the settings that it was given.
 
-    takes_listeners: it reads `PassedListener`, which is sent to no other build.
+    takes_listeners, reads_sent_calls: it reads `PassedListener` and `SentCalls`, which are sent to no other build.
     """
 
     name: str
     settings: str
     takes_listeners: bool = False
+    reads_sent_calls: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class HelloReply:
-    """Reply to `Hello`; learned: what the decision module has learned, None if the settings differ."""
+    """Reply to `Hello`; learned: what the decision module has learned, None if the settings differ.
+
+    reads_sent_calls: as in `Hello`.
+    """
 
     learned: api.Learned | None
+    reads_sent_calls: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +126,13 @@
     returned: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SentCalls:
+    """Calls that the sender has sent to clearing servers, so that the other process does not run them as well."""
+
+    calls: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class UnusableMessage:
     """A received message that can't be used, to be skipped; message_type: what it was meant as."""
@@ -130,7 +142,15 @@
 
 
 HandoverMessage = (
-    Hello | HelloReply | EstablishedCall | TakeOver | PassedConnection | PassedListener | RelayedMessage | CallEnded
+    Hello
+    | HelloReply
+    | EstablishedCall
+    | TakeOver
+    | PassedConnection
+    | PassedListener
+    | RelayedMessage
+    | CallEnded
+    | SentCalls
 )
 _MESSAGE_TYPES: dict[str, type] = {
     "hello": Hello,
@@ -141,6 +161,7 @@
     "listener": PassedListener,
     "told": RelayedMessage,
     "over": CallEnded,
+    "sent": SentCalls,
 }
 _MAX_MESSAGE_CHARS = 16 * 1024  # as much as callers and servers may send in one message
 _MESSAGE_NAMES = {kind: name for name, kind in _MESSAGE_TYPES.items()}
@@ -215,11 +236,17 @@
 
 
 def _hello(raw: Any) -> Hello:
-    return Hello(_text(raw["name"]), _text(raw["settings"]), _boolean(raw.get("takes_listeners", False)))
+    return Hello(
+        _text(raw["name"]),
+        _text(raw["settings"]),
+        _boolean(raw.get("takes_listeners", False)),
+        _boolean(raw.get("reads_sent_calls", False)),
+    )
 
 
 def _hello_reply(raw: Any) -> HelloReply:
-    return HelloReply(None if raw["learned"] is None else _learned(raw["learned"]))
+    learned = None if raw["learned"] is None else _learned(raw["learned"])
+    return HelloReply(learned, _boolean(raw.get("reads_sent_calls", False)))
 
 
 def _established_call(raw: Any) -> EstablishedCall:
@@ -280,6 +307,7 @@
     PassedListener: lambda raw: PassedListener(_text(raw["key"])),
     RelayedMessage: _relayed_message,
     CallEnded: _call_ended,
+    SentCalls: lambda raw: SentCalls(tuple(_text(call) for call in _list(raw["calls"], 100_000))),
 }
 
 
--- a/sageweir/net/handover.py
+++ b/sageweir/net/handover.py
@@ -30,6 +30,7 @@
     PassedConnection,
     PassedListener,
     RelayedMessage,
+    SentCalls,
     Succession,
     TakeOver,
 )
@@ -70,6 +71,7 @@
         self._listener: socket.socket | None = None
         self._known: asyncio.Future[HelloReply | None] = asyncio.get_running_loop().create_future()
         self._stopping = False
+        self._sent_calls: list[str] = []  # that the other process is to be told
         self._tasks: set[asyncio.Task[None]] = set()
         self._unidentified: list[Channel] = []  # that have not said who they are
         self.own_listeners: dict[str, socket.socket] = {}  # by key, for the successor
@@ -93,7 +95,9 @@
         self.predecessor, self.succession.has_predecessor = Channel(self, sock, True), True
         self.callers.set_part(self.succession.descriptor_share())
         wait = self.clock.after(self.limits.handover_ms, lambda: self._settle(None))
-        self.predecessor.send(Hello(self.succession.name, self.succession.settings, takes_listeners=True))
+        self.predecessor.send(
+            Hello(self.succession.name, self.succession.settings, takes_listeners=True, reads_sent_calls=True)
+        )
         known = await self._known
         wait.cancel()
         if known is None:
@@ -171,12 +175,19 @@
                 self.callers.set_part(self.succession.descriptor_share())
                 if message.takes_listeners:
                     self._pass_listeners(channel)
-                channel.send(HelloReply(export_learned(self.exchange.controller) if same else None))
+                learned = export_learned(self.exchange.controller) if same else None
+                channel.send(HelloReply(learned, reads_sent_calls=True))
+                if message.reads_sent_calls:
+                    self._report_sent_calls(channel)
                 log.info("a successor is there%s", "" if same else ", with other settings")
                 if self._stopping:
                     self._leave()
             case HelloReply() if channel is self.predecessor:
+                if message.reads_sent_calls:
+                    self._report_sent_calls(channel)
                 self._settle(message)
+            case SentCalls() if self.is_known(channel):
+                self.exchange.on_calls_sent_elsewhere(message.calls)
             case TakeOver() if channel is self.predecessor:
                 self.succession.on_predecessor_leaving()
                 self.callers.set_part(self.succession.descriptor_share())
@@ -194,6 +205,21 @@
             case _:
                 raise HandoverError(f"{type(message).__name__} is not its to say")
 
+    def _report_sent_calls(self, channel: Channel) -> None:
+        """Tell the other process which calls were sent to servers until now, and those that follow once a turn."""
+        channel.send(SentCalls(tuple(self.exchange.sent_calls())))
+
+        def flush() -> None:
+            calls, self._sent_calls = self._sent_calls, []
+            channel.send(SentCalls(tuple(calls)))
+
+        def report(call: str) -> None:
+            if not self._sent_calls:
+                self.clock.soon(flush)
+            self._sent_calls.append(call)
+
+        self.exchange.report_sent_call = report
+
     def _pass_listeners(self, channel: Channel) -> None:
         for key, listener in self.own_listeners.items():
             if listener.fileno() >= 0:  # else this process listens no more
@@ -277,6 +303,8 @@
 
     def lost(self, channel: Channel) -> None:
         """The other process has ended, or speaks no more."""
+        if self.is_known(channel):
+            self.exchange.report_sent_call = None
         if channel is self.successor:
             self.successor, self.succession.has_successor = None, False
             self.exchange.forget_announcements()
--- a/sageweir/net/server_connection.py
+++ b/sageweir/net/server_connection.py
@@ -143,7 +143,7 @@
         fields = {"class": request.service_class, "left": f"{left}", "key": request.key}
         said = self.send(Message(Kind.SET_UP, request.call, fields, description=request.description))
         if said:
-            attempt.written = True
+            exchange.on_attempt_written(attempt)
             self.unwritten.append(attempt)
             if self.unsent():
                 self.clock.after(self.limits.unsent_ms, lambda: self._unsent_late(attempt))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -33,6 +33,7 @@
     PassedConnection,
     PassedListener,
     RelayedMessage,
+    SentCalls,
     Succession,
     TakeOver,
     UnusableMessage,
@@ -72,9 +73,10 @@
     st.lists(SERVER, max_size=3).map(tuple),
 )
 MESSAGE: st.SearchStrategy[HandoverMessage] = st.one_of(
-    st.builds(Hello, TEXT, TEXT, st.booleans()),
+    st.builds(Hello, TEXT, TEXT, st.booleans(), st.booleans()),
+    st.builds(SentCalls, st.lists(TEXT, max_size=3).map(tuple)),
     st.builds(PassedListener, TEXT),
-    st.builds(HelloReply, st.none() | LEARNED),
+    st.builds(HelloReply, st.none() | LEARNED, st.booleans()),
     st.just(TakeOver()),
     st.builds(EstablishedCall, TEXT, TEXT, TEXT, NUMBER, TEXT, st.booleans(), st.none() | st.integers(0, 127), NUMBER),
     st.builds(
@@ -405,7 +407,9 @@
         "observer": "of this process",
         "input_delay_ms": "of this process's event loop",
         "_in_flight": "attempts of unanswered calls",
-        "_ended_ids": "the other process is asked about ids that are not known",
+        "report_sent_call": "the way to the other process",
+        "_sent_elsewhere": "calls of the other process",
+        "_ended_ids": "those that were sent are told; the other process is asked about ids that are not known",
         "_inbox": "events of this turn",
         "_scheduled": "",
     }
--- a/tests/test_upgrade_calls.py
+++ b/tests/test_upgrade_calls.py
@@ -157,3 +157,35 @@
         await world.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("transport", ["lines", "websocket"])
+@pytest.mark.parametrize("moment", ["before the new process", "beside it", "at the new process"])
+def test_an_id_that_comes_again_at_the_other_process_is_not_run_twice(
+    transport: str, moment: str, tmp_path: Path
+) -> None:
+    """Failure: neither process knew which calls the other one had sent, and both sent one with the same id."""
+
+    async def run() -> None:
+        upgrade = Upgrade(transport, tmp_path)
+        await upgrade.old.open(2)
+        await upgrade.old_handover.inherit()
+        first, again = upgrade.old, upgrade.new
+        if moment == "before the new process":
+            await first.line("c> setup A dest=1")
+            await first.line("c: close")
+        await upgrade.start_new()
+        if moment == "at the new process":
+            first, again = again, first
+            await again.wait(STEP_MS)
+        if moment != "before the new process":
+            await first.line("c> setup A dest=1")
+            await first.line("c: close")
+        await again.line("c2> setup A dest=1")
+        await upgrade.run(1000.0)
+        got = [message for _, message in upgrade.old.stand_ins["s1"].got if message.kind is Kind.SET_UP]
+        assert len(got) == 1
+        await again.line("c2< release A cause=95")
+        await upgrade.close()
+
+    asyncio.run(run())
