Hold set-ups back while their client sends faster than it is read

Cause: a close is asked of the socket, but it can't arrive there while the system's receive buffer is full.

Change: set-ups of a connection wait until no read has filled the whole buffer for burst_ms (20 ms), or it has ended.

--- a/sageweir/attempts.py
+++ b/sageweir/attempts.py
@@ -64,6 +64,7 @@
 
     WAITING = "waiting"
     UNREAD_INPUT = "has sent input that was not read yet, which may be a cancel"
+    SENDING = "sends faster than it is read, so that a close could not be seen yet"
     DISCONNECTED = "has closed its connection"
 
 
@@ -72,6 +73,7 @@
 
     SEND = "send"
     DEFER = "ask again once the caller's unread input has been read"
+    AWAIT_INPUT = "ask again once the caller sends no faster than it is read"
     DROP = "do not send: the attempt is over or its time is up"
 
 
@@ -104,6 +106,9 @@
     def presence(self) -> Presence:
         """Whether the caller is still connected, by the state of its socket and not by the input read so far."""
 
+    def when_read(self, done: Callable[[], None]) -> None:
+        """Call `done` once the caller sends no faster than it is read, or the connection has ended."""
+
     def forget_call(self, call: str) -> None:
         """The call has ended: nothing more will be sent for it."""
 
--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -189,11 +189,19 @@
             self.on_caller_release(call_id)
             call.caller.fail(call_id)  # after a half-close it can still read
             return SendDecision.DROP
+        if presence is Presence.SENDING:
+            return SendDecision.AWAIT_INPUT
         if presence is Presence.UNREAD_INPUT and attempt.deferrals < self.limits.send_deferrals:
             attempt.deferrals += 1
             return SendDecision.DEFER
         return SendDecision.SEND
 
+    def send_once_read(self, attempt: Attempt) -> None:
+        """Send an attempt once its caller's input has been read; does nothing if it is over by then."""
+        call, servers = self.calls.get(attempt.request.call), self.servers
+        if call is not None and servers is not None:
+            call.caller.when_read(lambda: servers.send(attempt))
+
     def on_attempt_written(self, attempt: Attempt) -> None:
         """The set-up was handed to a connection: the server may execute it."""
         attempt.written = True
--- a/sageweir/limits.py
+++ b/sageweir/limits.py
@@ -77,6 +77,7 @@
     fresh_ms: float = 300.0  # a new connection may be silent so long while clients are sent away
     linger_ms: float = 1000.0  # the peer's close is awaited so long after ours
     unsent_ms: float = 100.0  # a set-up that a server has not read by then is not left to it
+    burst_ms: float = 20.0  # since a full read: more of a caller's input, or its close, may be on its way
     stalled_ms: float = 50.0  # a loop held up longer than this takes what it reads to have waited that long
     stop_quiet_ms: float = 60.0  # a process that stops ends once nothing new came for so long
     may_test: bool = False  # whether the platform lets clearing servers be tested
--- a/sageweir/net/caller_connection.py
+++ b/sageweir/net/caller_connection.py
@@ -11,7 +11,7 @@
 from sageweir.attempts import Presence
 from sageweir.lifecycle import ConnectionUse, Disposition, Phase
 from sageweir.messages import Cause, Kind, MalformedInput, Message
-from sageweir.net.connection import Connection
+from sageweir.net.connection import READ_BYTES, Connection
 from sageweir.net.setup_request import read_request
 from sageweir.net.wire import Wire
 
@@ -33,6 +33,8 @@
         self.faults = 0  # bad messages since the last good one
         self.relay: Callable[[Message], bool] | None = None  # says it where the connection is now: in another process
         self.early: list[Message] | None = None  # what is said before a connection that was passed here is up
+        self._burst_until = 0.0  # its input comes faster than it is read
+        self._awaiting_input: list[Callable[[], None]] = []  # called after the burst
         self.leaving = False  # it is being closed: set-ups that still come are refused
 
     def received(self, message: Message) -> None:
@@ -145,7 +147,7 @@
 
     def movable(self) -> bool:
         """Whether another process can go on with this connection just as it is."""
-        return self.up and not self.unsent() and self.wire.held() is not None
+        return self.up and not self.unsent() and not self._awaiting_input and self.wire.held() is not None
 
     def move(self, relay: Callable[[Message], bool]) -> int:
         """Leave the connection to another process; a descriptor of it, and the calls on it are said through relay."""
@@ -196,6 +198,7 @@
             self.side.exchange.on_caller_release(call)
             # Where only its sending half is closed, it still reads: it is owed an answer.
             self.send(Message(Kind.FAILURE, call, cause=Cause.RESET))
+        self._go_on()
 
     def lost(self, reset: bool) -> None:
         if self.relay is not None:
@@ -206,6 +209,7 @@
         for call in list(self.open):  # nobody can be answered any more
             self.side.exchange.on_caller_release(call)
         self.open.clear()
+        self._go_on()
 
     # What the exchange says
 
@@ -214,8 +218,35 @@
             return Presence.WAITING  # another process has the connection, or it has just come from there
         if not self.up or self.hung_up():
             return Presence.DISCONNECTED
+        if self.clock.now() < self._burst_until:
+            # Guards against set-ups of a caller that has gone: its close can't arrive while the buffer is full.
+            return Presence.SENDING
         return Presence.UNREAD_INPUT if self.unread() else Presence.WAITING
 
+    def when_read(self, done: Callable[[], None]) -> None:
+        self._awaiting_input.append(done)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if nbytes == READ_BYTES:
+            if self._burst_until == 0.0:
+                self.clock.after(self.limits.burst_ms, self._look_for_burst_end)
+            self._burst_until = self.clock.now() + self.limits.burst_ms
+        super().buffer_updated(nbytes)
+
+    def _look_for_burst_end(self) -> None:
+        left = self._burst_until - self.clock.now()
+        if left > 0:
+            self.clock.after(left, self._look_for_burst_end)
+            return
+        self._burst_until = 0.0
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Ask again for all that waits for the end of a burst."""
+        awaiting, self._awaiting_input = self._awaiting_input, []
+        for done in awaiting:
+            done()
+
     def answer(self, call: str, description: str | None) -> bool:
         self.open.discard(call)
         if not self.send(Message(Kind.ANSWER, call, description=description)):
--- a/sageweir/net/callers.py
+++ b/sageweir/net/callers.py
@@ -44,6 +44,9 @@
     def presence(self) -> Presence:
         return Presence.WAITING  # only calls that stand are kept by address, and nothing more is sent for them
 
+    def when_read(self, done: Callable[[], None]) -> None:
+        done()
+
     def forget_call(self, call: str) -> None:
         """Nothing is kept here."""
 
--- a/sageweir/net/server_link.py
+++ b/sageweir/net/server_link.py
@@ -205,6 +205,9 @@
             case SendDecision.DEFER:  # two turns of the loop: what can be read now is read in the next one
                 self.side.clock.soon(lambda: self.side.clock.soon(lambda: self.side.send(attempt)))
                 return
+            case SendDecision.AWAIT_INPUT:
+                self.side.exchange.send_once_read(attempt)
+                return
             case SendDecision.SEND:
                 pass
         sound = [c for c in self.connections if c.up and not c.suspect]
--- a/tests/test_any_settings.py
+++ b/tests/test_any_settings.py
@@ -121,6 +121,9 @@
     def presence(self) -> Presence:
         return Presence.WAITING
 
+    def when_read(self, done: Callable[[], None]) -> None:
+        done()
+
     def forget_call(self, call: str) -> None: ...
 
     def _record_final(self, call: str, how: str) -> bool:
@@ -341,6 +344,9 @@
     def presence(self) -> Presence:
         return Presence.WAITING
 
+    def when_read(self, done: Callable[[], None]) -> None:
+        done()
+
     def forget_call(self, call: str) -> None: ...
 
     def give_up(self, attempt: Attempt) -> None: ...
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -6,6 +6,7 @@
 import json
 import random
 import socket
+import threading
 import time
 from contextlib import suppress
 from pathlib import Path
@@ -120,3 +121,67 @@
         await world.close()
 
     asyncio.run(run())
+
+
+CLOSED_WITH = 20_000  # set-ups, 3 MB: more than the system's buffers take, so that the close waits behind them
+LEFT_MS = 100.0  # the terms: no attempt begins later after its client has left
+
+
+def test_what_a_client_has_sent_is_not_sent_on_after_it_has_closed_behind_much_unread(tmp_path: Path) -> None:
+    """Failure: 2,500 of its set-ups went to servers up to 2 s after its close, which could not be seen behind them."""
+    heard: list[float] = []
+
+    def hear(connection: socket.socket) -> None:
+        with suppress(OSError), connection.makefile() as lines:
+            heard.extend(time.monotonic() for line in lines if json.loads(line)["msg"] == "open")
+
+    def accept(listener: socket.socket) -> None:
+        with suppress(OSError):
+            while True:
+                threading.Thread(target=hear, args=(listener.accept()[0],), daemon=True).start()
+
+    attrs = {"class": "status-check", "left": "8000", "extras": "dest:0"}
+    rng = random.Random(2)
+    with platform(tmp_path) as (path, listener, held):
+        threading.Thread(target=accept, args=(listener,), daemon=True).start()
+        program = Program(path, {"NODE_SOCKET_FD": str(held.fileno())}, held.fileno())
+        try:
+            with socket.create_connection(held.getsockname()) as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8 << 20)
+                for _ in range(CLOSED_WITH // SET_UPS_AT_ONCE):
+                    lines = [
+                        json.dumps({"msg": "open", "sid": f"{rng.getrandbits(64):016x}", "attrs": attrs})
+                        for _ in range(SET_UPS_AT_ONCE)
+                    ]
+                    client.sendall(("\n".join(lines) + "\n").encode())
+            closed_at = time.monotonic()
+            with socket.create_connection(held.getsockname(), timeout=30) as other:
+                other.sendall(json.dumps({"msg": "probe", "sid": "f" * 16, "attrs": {}, "code": 0}).encode() + b"\n")
+                assert other.recv(1000)
+            time.sleep(3.0)
+            late = [at for at in heard if at > closed_at + LEFT_MS / 1000]
+            assert not late, f"{len(late)} set-ups, up to {max(late) - closed_at:.1f} s after the close"
+        finally:
+            program.process.kill()
+            program.process.wait()
+
+
+def test_a_burst_of_set_ups_goes_out_once_it_has_been_read() -> None:
+    """Those of a caller that stays connected are not held back for long."""
+
+    async def run() -> None:
+        world = World("lines")
+        await world.open(1)
+        caller = (await world.caller("c")).peers[-1]
+        attrs = {"class": "plain", "left": "3000", "key": "n"}
+        assert caller.transport is not None
+        caller.transport.writelines(
+            json.dumps({"msg": "open", "sid": f"{i:016x}", "attrs": attrs}).encode() + b"\n" for i in range(300)
+        )
+        await world.settle()
+        assert len(world.exchange.calls) == 300 and not world.stand_ins["s0"].got
+        await world.wait(Limits().burst_ms)
+        assert world.stand_ins["s0"].got
+        await world.close()
+
+    asyncio.run(run())
--- a/tests/test_ends_property.py
+++ b/tests/test_ends_property.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, cast
 
 from hypothesis import settings
@@ -51,6 +52,9 @@
     def presence(self) -> Presence:
         return self.presence_now
 
+    def when_read(self, done: Callable[[], None]) -> None:
+        done()
+
     def forget_call(self, call: str) -> None:
         pass
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -349,6 +349,9 @@
     def presence(self) -> Presence:
         return Presence.WAITING
 
+    def when_read(self, done: Callable[[], None]) -> None:
+        done()
+
     def forget_call(self, call: str) -> None:
         pass
 
