Send a call's release to the process that has it, though another is listed under its name

Cause: ServerSide._link and detach looked the server up by name, listed ones first.

Change: the link that has the attempt or call is asked first.

Ruled out: a release by the old process, and a set-up that times out there, which found the right link before.

--- a/sageweir/net/server_link.py
+++ b/sageweir/net/server_link.py
@@ -281,6 +281,11 @@
     def _give_over(self, name: str) -> None:
         self.releases.pop(name, None)
 
+    def has(self, attempt: Attempt) -> bool:
+        """Whether the attempt, or the call that it has set up, is at this process of the server."""
+        name = attempt.request.call
+        return self.standing.get(name) is attempt or any(c.attempts.get(name) is attempt for c in self.connections)
+
     def forget(self, attempt: Attempt) -> None:
         name = attempt.request.call
         for connection in self.connections:
--- a/sageweir/net/servers.py
+++ b/sageweir/net/servers.py
@@ -104,8 +104,10 @@
             del self.links[link.name]
 
     def _link(self, attempt: Attempt) -> ServerLink | None:
-        links = [*self.links.values(), *self.leaving]
-        return next((link for link in links if link.name == attempt.server), None)
+        """The link that has the attempt; if none has it, the one to the server of that name."""
+        # Prevents taking a new process of the server for the one that has the call.
+        named = [link for link in [*self.links.values(), *self.leaving] if link.name == attempt.server]
+        return next((link for link in named if link.has(attempt)), named[0] if named else None)
 
     # What the exchange asks
 
@@ -130,7 +132,7 @@
             link.release(attempt, cause)
 
     def detach(self, attempt: Attempt) -> bool:
-        link = self.links.get(attempt.server)
+        link = self._link(attempt)
         if link is None or link.state is not api.ServerState.IN_SERVICE:
             return False
         link.forget(attempt)
