Answer polls with 503 until the feed was heard, as streams wait

Cause: the page asked neither whether the feed was heard nor whether the proxy holds something newer; the streams ask both.

Change: ControlService.may_answer, asked by Discovery; 503 otherwise. Ruled out: the file, the proxy.

--- a/sageweir/control/poll.py
+++ b/sageweir/control/poll.py
@@ -1,7 +1,7 @@
 """Polled discovery: xDS v3 over REST and JSON, served from the control service's snapshot.
 
 A proxy posts a DiscoveryRequest to /v3/discovery:endpoints (or listeners, routes, clusters) and gets the same
-resources that streams get, or 304 if its version is the current one.
+resources that streams get, 304 if its version is the current one, or 503 while there is none that it may get.
 """
 
 from __future__ import annotations
@@ -33,14 +33,16 @@
     405: "Method Not Allowed",
     411: "Length Required",
     413: "Content Too Large",
+    503: "Service Unavailable",
 }
 
 
 class Discovery:
     """Answers discovery requests from the current snapshot."""
 
-    def __init__(self, present: Callable[[], Snapshot]) -> None:
-        self._present, self._nonce = present, 0
+    def __init__(self, present: Callable[[], Snapshot], may_serve: Callable[[str], bool] = lambda held: True) -> None:
+        """may_serve: whether a proxy that holds this version may get the current one."""
+        self._present, self._may_serve, self._nonce = present, may_serve, 0
         self.connections = 0
 
     def answer(self, type_url: str, body: bytes) -> tuple[int, bytes]:
@@ -56,6 +58,9 @@
             return 400, b"type_url must be the page's, resource_names a list"
         if request.get("error_detail"):  # a NACK: the proxy keeps its previous version
             log.warning("a proxy refused nonce %r: %.200s", request.get("response_nonce"), request["error_detail"])
+        held = request.get("version_info", "")
+        if not self._may_serve(held if isinstance(held, str) else ""):
+            return 503, b"no current list is known yet"
         snapshot = self._present()
         version = snapshot.versions.get(type_url, f"{snapshot.epoch}.0")
         if request.get("version_info") == version and not request.get("error_detail"):
--- a/sageweir/control/program.py
+++ b/sageweir/control/program.py
@@ -95,7 +95,7 @@
         port = await self.front.start(f"{base.listen.host}:{base.listen.port}")
         log.info("%s: serving xDS at %s:%d", base.name, base.listen.host, port)
         if (rest := self.config.rest) is not None:
-            page = Discovery(lambda: self.service.present)
+            page = Discovery(lambda: self.service.present, self.service.may_answer)
             self._rest = await asyncio.get_running_loop().create_server(
                 lambda: DiscoveryConnection(base.limits, page), rest.host, rest.port, reuse_port=True
             )
--- a/sageweir/control/service.py
+++ b/sageweir/control/service.py
@@ -11,7 +11,7 @@
 from sageweir.config import ControlConfig, ListEvent
 from sageweir.control.fleet import Fleet
 from sageweir.control.lease import LeasePolicy
-from sageweir.control.line import VersionSequence
+from sageweir.control.line import VersionSequence, read_version
 from sageweir.control.pace import Pace, Pacer
 from sageweir.control.resources import bodies
 from sageweir.control.shares import Demand, Plan, plan
@@ -181,6 +181,10 @@
         """Whether a proxy that holds this version of the sequence may be served by this instance."""
         return self.sequence.may_serve(held) if self.sequence is not None else not held
 
+    def may_answer(self, held: str) -> bool:
+        """Whether a proxy that polls and holds this version may be given the snapshot."""
+        return self.ready and self.may_serve(read_version(held))
+
     def changed(self) -> None:
         """Wake the streams after a change of the version sequence."""
         self._wake()
--- a/tests/test_control_decisions.py
+++ b/tests/test_control_decisions.py
@@ -21,6 +21,7 @@
 from sageweir.control.encoding import MESSAGES, encode
 from sageweir.control.fleet import Fleet
 from sageweir.control.lease import LeasePolicy
+from sageweir.control.poll import Discovery
 from sageweir.control.resources import bodies, cluster_name
 from sageweir.control.service import ControlService
 from sageweir.control.shares import SCALE, Health, water_fill
@@ -329,6 +330,22 @@
     assert other.ready
 
 
+def test_a_polling_proxy_gets_nothing_until_the_feed_was_heard_or_given_up() -> None:
+    """Failure: the page told the file's list at once, with a server that drained since at a full share."""
+    service = ControlService(SetClock(), read_control(FILE), "t", encode)
+    service.follow(
+        ListEvent(1, True, (Listed(api.Server("s-0", 0, api.ServerState.IN_SERVICE), Address("127.0.0.1", 1)),))
+    )
+    held: dict[str, str] = {}
+    page = Discovery(lambda: service.present, service.may_answer)
+    assert page.answer(ENDPOINT, orjson.dumps(held)) == (503, b"no current list is known yet")
+    service.on_feed_status(True)
+    status, body = page.answer(ENDPOINT, orjson.dumps(held))
+    assert status == 200 and orjson.loads(body)["resources"]
+    assert page.answer(ENDPOINT, orjson.dumps({"version_info": "L9.1"}))[0] == 503  # newer than what is known here
+    assert page.answer(ENDPOINT, orjson.dumps({"version_info": 5}))[0] == 200
+
+
 # Resources and configuration
 
 
