--- a/sageweir/exchange.py
+++ b/sageweir/exchange.py
@@ -31,6 +31,7 @@
 from sageweir.handover import EstablishedCall
 from sageweir.limits import Limits
 from sageweir.messages import Cause
+from sageweir.obligations import calls_without_end, differences_from_module
 from sageweir.predecessor_calls import PredecessorCalls
 
 log = logging.getLogger("sageweir.exchange")
@@ -72,7 +73,7 @@
         self.observer: RequestObserver | None = None
         # Upper bound of the time for which the input of this loop turn waited to be read.
         self.input_delay_ms: Callable[[], float] = lambda: 0.0
-        self._in_flight: dict[tuple[str, int], Attempt] = {}
+        self.in_flight: dict[tuple[str, int], Attempt] = {}
         self._ended_ids: OrderedDict[str, bool] = OrderedDict()  # ended calls, oldest first; whether a server had them
         self._inbox: deque[api.Event] = deque()
         self._scheduled = False
@@ -164,7 +165,7 @@
             self._post(api.AttemptEnded(call_id, number, server, api.Outcome.NOT_SENT, 0.0, False))
             return
         attempt = Attempt(call.request, number, server, now, timeout_ms)
-        call.current_attempt = self._in_flight[call_id, number] = attempt
+        call.current_attempt = self.in_flight[call_id, number] = attempt
         attempt.timer = self.clock.after(timeout_ms, lambda: self._on_attempt_timeout(attempt))
         self.servers.send(attempt)
 
@@ -213,7 +214,7 @@
         return attempt.sent_at + attempt.timeout_ms - self.clock.now()
 
     def _cancel(self, call_id: str, number: int) -> None:
-        attempt = self._in_flight.get((call_id, number))
+        attempt = self.in_flight.get((call_id, number))
         if attempt is not None and self.servers is not None:
             self._close_attempt(
                 attempt, AttemptResult(api.Outcome.CANCELLED if attempt.written else api.Outcome.NOT_SENT)
@@ -233,7 +234,7 @@
             return
         attempt.state = AttemptState.ENDED
         call_id, now = attempt.request.call, self.clock.now()
-        self._in_flight.pop((call_id, attempt.number), None)
+        self.in_flight.pop((call_id, attempt.number), None)
         if attempt.timer is not None:
             attempt.timer.cancel()
         if attempt.written and call_id in self._ended_ids:
@@ -546,7 +547,7 @@
                 self.servers.release(attempt, Cause.NORMAL)
         else:
             attempt.state = AttemptState.ESTABLISHED
-            self._in_flight.pop((call_id, attempt.number), None)
+            self.in_flight.pop((call_id, attempt.number), None)
             self.unanswered -= 1
             for timer in (attempt.timer, call.watchdog):
                 if timer is not None:
@@ -623,34 +624,4 @@
         An audit at the end of the process and of tests; it compares the exchange's state with the module's.
         """
         self._process_inbox()
-        obligations = [
-            f"call {call_id}: {'established' if call.is_established else 'no final answer'}"
-            for call_id, call in self.calls.items()
-        ]
-        obligations += [f"call {call_id}: attempt {number} is in flight" for call_id, number in self._in_flight]
-        obligations += [
-            f"call {call_id}: its caller was not notified of the release" for call_id in self.pending_releases
-        ]
-        obligations += [
-            f"call {call_id}: to be answered by another process" for call_id in self.predecessor_calls.unanswered()
-        ]
-        module = self.controller
-        obligations += [
-            f"call {call_id}: known to the decision module only"
-            for call_id in module.calls
-            if call_id not in self.calls
-        ]
-        obligations += [
-            f"call {call_id}: waiting in the decision module only"
-            for call_id in module.waiting
-            if call_id not in self.calls
-        ]
-        for server, server_state in module.servers.items():
-            unknown_attempts = (key for key in server_state.in_flight if key not in self._in_flight)
-            obligations += [
-                f"call {call_id}: the decision module counts attempt {number} at {server}"
-                for call_id, number in unknown_attempts
-            ]
-        if self.unanswered != sum(not call.is_established for call in self.calls.values()):
-            obligations.append(f"{self.unanswered} requests counted as unanswered")
-        return obligations
+        return [*calls_without_end(self), *differences_from_module(self)]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -406,7 +406,7 @@
         "counters": "of this process",
         "observer": "of this process",
         "input_delay_ms": "of this process's event loop",
-        "_in_flight": "attempts of unanswered calls",
+        "in_flight": "attempts of unanswered calls",
         "report_sent_call": "the way to the other process",
         "_sent_elsewhere": "calls of the other process",
         "_ended_ids": "those that were sent are told; the other process is asked about ids that are not known",
